The whole path as separate processes

A platform stand-in, nodes and target stand-ins as processes of their own. A node gets its configuration through relays, which hold the watch on the platform under lease objects; a target announces itself to the node in its VM; a call enters at any node and is admitted by the node at its target.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, each printing one JSON object last."""
--- /dev/null
+++ b/pomelobend/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/pomelobend/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API and the console of a node."""
--- /dev/null
+++ b/pomelobend/admin/api.py
@@ -0,0 +1,242 @@
+"""The administration API that every node serves."""
+
+from __future__ import annotations
+
+import typing
+import uuid
+
+import attrs
+import sanic
+from sanic import response as responses
+
+from pomelobend import __version__
+from pomelobend.admin import limits
+from pomelobend.admin import tokens as token_module
+from pomelobend import config
+from pomelobend.configuration import commands as configuration_commands
+from pomelobend.documents import model
+from pomelobend.documents import validate
+from pomelobend import errors
+from pomelobend.findings import kinds
+from pomelobend.findings import reader
+from pomelobend.findings import source as sources
+from pomelobend.targets import local as local_targets
+
+if typing.TYPE_CHECKING:
+    from sanic import request as requests
+
+    from pomelobend import app as apps
+
+STATUS = {
+    errors.FindingsError: 422,
+    errors.ConfigurationConflictError: 409,
+    errors.ConfigurationUnsettledError: 504,
+    errors.PlatformUnavailableError: 503,
+    errors.PlatformNotFoundError: 404,
+    token_module.UnauthorizedError: 401,
+    token_module.ForbiddenError: 403,
+    limits.RateLimitedError: 429,
+}
+"""Status of errors; any other error of the project is answered with 500."""
+
+
+@attrs.define(eq=False)
+class Api:
+    """HTTP resources for operators, targets and monitoring."""
+
+    node: apps.Node
+    tokens: token_module.Tokens
+    rates: limits.Rates
+    server: typing.Any = None
+
+    async def listen(self) -> None:
+        """Begin to serve."""
+        app = sanic.Sanic('admin', configure_logging=False)
+        app.config.update(
+            ACCESS_LOG=False, TOUCHUP=False, REQUEST_MAX_SIZE=2**20
+        )
+        self._add_routes(app)
+        app.error_handler.add(errors.PomelobendError, self._answer_error)
+        host, port = config.split_address(self.node.settings.listen.admin)
+        self.server = await app.create_server(host, port, access_log=False)
+        await self.server.startup()
+        await self.server.start_serving()
+
+    def close(self) -> None:
+        """Stop serving."""
+        if self.server is not None:
+            self.server.close()
+            for connection in list(self.server.connections):
+                connection.close_if_idle()
+
+    def _add_routes(self, app: sanic.Sanic) -> None:
+        app.add_route(self.health, '/healthz')
+        app.add_route(self.readiness, '/readyz')
+        app.add_route(self.metrics, '/metrics')
+        app.add_route(self.status, '/v1/status')
+        app.add_route(self.announce, '/v1/target', methods=['PUT'])
+        app.add_route(self.list_documents, '/v1/documents')
+        app.add_route(self.get_document, '/v1/documents/<team>')
+        app.add_route(
+            self.put_document, '/v1/documents/<team>', methods=['PUT']
+        )
+        app.add_route(self.history, '/v1/history')
+
+    async def health(self, request: requests.Request) -> typing.Any:
+        """Tell that the event loop of the process runs."""
+        return responses.json({'status': 'alive', 'version': __version__})
+
+    async def readiness(self, request: requests.Request) -> typing.Any:
+        """Tell whether the node can take calls, and what keeps it."""
+        missing = self.node.not_ready()
+        return responses.json(
+            {'ready': not missing, 'missing': missing},
+            status=503 if missing else 200,
+        )
+
+    async def metrics(self, request: requests.Request) -> typing.Any:
+        """Answer the metrics of the node."""
+        body, headers = self.node.exposition.render(
+            request.headers.get('accept', '')
+        )
+        return responses.raw(body, headers=headers)
+
+    async def status(self, request: requests.Request) -> typing.Any:
+        """Answer what the node knows of itself and of others."""
+        return responses.json(self.node.status())
+
+    async def announce(self, request: requests.Request) -> typing.Any:
+        """Take the announcement of the local target."""
+        source = sources.Source.from_text(
+            request.body.decode('utf-8', 'replace'), 'announcement'
+        )
+        self.node.local.hear(
+            reader.read_source(local_targets.Announcement, source)
+        )
+        interval_s = self.node.settings.target.heartbeat.total_seconds() / 3
+        return responses.json({'again_within_ms': round(interval_s * 1000)})
+
+    async def list_documents(self, request: requests.Request) -> typing.Any:
+        """Answer which document of each team is in force here."""
+        manifest = self.node.store.snapshot.manifest
+        return responses.json(
+            {
+                'number': manifest.number,
+                'documents': {
+                    team: {'digest': ref.digest, 'number': ref.number}
+                    for team, ref in sorted(manifest.documents.items())
+                },
+            }
+        )
+
+    async def get_document(
+        self, request: requests.Request, team: str
+    ) -> typing.Any:
+        """Answer the accepted document of a team, as the platform has it."""
+        manifest, _ = await self.node.configuration_queries.manifest()
+        ref = manifest.documents.get(team)
+        if ref is None:
+            raise errors.PlatformNotFoundError(f'{team} has no document')
+        found = await self.node.configuration_queries.documents([ref.digest])
+        return responses.json(
+            {'number': ref.number, 'document': found[ref.digest]}
+        )
+
+    async def put_document(
+        self, request: requests.Request, team: str
+    ) -> typing.Any:
+        """Accept a document, or only check it."""
+        owner = self.tokens.team(request.headers.get('authorization', ''))
+        self.rates.take(owner.name)
+        change = _change(request, team, owner)
+        document = validate.parse(
+            sources.Source.from_value(change.document, f'{team}.json')
+        )
+        token_module.require_document_right(
+            owner, document, await self._domains_before(team)
+        )
+        if request.args.get('dry-run') == 'true':
+            built = await self.node.configuration_commands.check(change)
+            return responses.json({'number': built.number, 'accepted': False})
+        accepted = await self.node.configuration_commands.accept(change)
+        return responses.json({**attrs.asdict(accepted), 'accepted': True})
+
+    async def history(self, request: requests.Request) -> typing.Any:
+        """Answer the accepted changes, the newest first."""
+        manifest, _ = await self.node.configuration_queries.manifest()
+        return responses.json(
+            {'changes': [attrs.asdict(c) for c in manifest.history[::-1]]}
+        )
+
+    async def _domains_before(
+        self, team: str
+    ) -> tuple[model.DomainDecision, ...]:
+        manifest, _ = await self.node.configuration_queries.manifest()
+        ref = manifest.documents.get(team)
+        if ref is None:
+            return ()
+        found = await self.node.configuration_queries.documents([ref.digest])
+        return validate.parse(
+            sources.Source.from_value(found[ref.digest], f'{team}.json')
+        ).domains
+
+    async def _answer_error(
+        self, request: requests.Request, error: errors.PomelobendError
+    ) -> typing.Any:
+        self.node.counters.add('admin_refused', error.code)
+        body: dict[str, typing.Any] = {
+            'code': error.code,
+            'message': str(error),
+        }
+        if isinstance(error, errors.FindingsError):
+            body['findings'] = [attrs.asdict(f) for f in error.findings]
+        if isinstance(error, errors.ConfigurationConflictError):
+            body['current'] = error.current
+        status = next(
+            (s for cls, s in STATUS.items() if isinstance(error, cls)), 500
+        )
+        return responses.json(body, status=status)
+
+
+@attrs.frozen
+class _Arguments:
+    """Arguments of a change in the query of its request."""
+
+    expected: int = kinds.option(
+        kinds.Whole(), 'configuration that brought the document seen'
+    )
+    change: str = kinds.option(
+        kinds.Text(pattern='[a-zA-Z0-9-]{8,64}|'),
+        'unique name of the change',
+        default='',
+    )
+
+
+def _change(
+    request: requests.Request, team: str, owner: config.Team
+) -> configuration_commands.Request:
+    """Return the change that a request asks for."""
+    name = f'{team}.json'
+    source = sources.Source.from_text(
+        request.body.decode('utf-8', 'replace'), name
+    )
+    expected = reader.read_source(
+        _Arguments,
+        sources.Source.from_value(
+            {
+                key: int(value)
+                if key == 'expected' and value.isdigit()
+                else value
+                for key, (value, *_) in request.args.items()
+                if key in ('expected', 'change')
+            },
+            'arguments',
+        ),
+    )
+    return configuration_commands.Request(
+        expected.change or uuid.uuid4().hex,
+        team,
+        source.value,
+        expected.expected,
+        owner.name,
+    )
--- /dev/null
+++ b/pomelobend/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP front that callers and local targets send calls to."""
--- /dev/null
+++ b/pomelobend/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines."""
--- /dev/null
+++ b/pomelobend/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted configurations: manifest, snapshot, and forward-only store."""
--- /dev/null
+++ b/pomelobend/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Relays, their leases, and the feed of configuration and members."""
--- /dev/null
+++ b/pomelobend/distribution/hub.py
@@ -0,0 +1,247 @@
+"""What a node passes on to the nodes that subscribed to it."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import attrs
+import structlog
+
+from pomelobend import errors
+from pomelobend.peers import codec
+from pomelobend.peers import messages
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from pomelobend import clock as clocks
+    from pomelobend.configuration import snapshot as snapshots
+    from pomelobend.configuration import store as stores
+    from pomelobend.distribution import relays
+    from pomelobend.membership import member as members
+    from pomelobend.membership import table as tables
+    from pomelobend.metrics import counters as counter_module
+    from pomelobend.peers import connection as connections
+
+logger = structlog.get_logger('distribution')
+
+FLUSH_S = 0.05
+"""Time over which news of members is gathered into one message."""
+
+GRACE_S = 1.0
+"""Time within which a node that lost its connection may come back."""
+
+
+@attrs.define(eq=False)
+class Subscriber:
+    """A node that is fed, and what it is known to have."""
+
+    connection: connections.Connection
+    is_relay: bool
+    number: int
+    documents: frozenset[str] = frozenset()
+    member: members.Member | None = None
+
+
+@attrs.define(eq=False)
+class Hub:
+    """Feeds subscribers with configurations and members.
+
+    Any node can feed others; relays are those that the others turn to.
+    """
+
+    store: stores.Store
+    table: tables.Table
+    directory: relays.Directory
+    clock: clocks.Clock
+    counters: counter_module.Counters
+    subscribers: dict[connections.Connection, Subscriber] = attrs.field(
+        factory=dict
+    )
+    attached: dict[str, members.Member] = attrs.field(factory=dict)
+    news: dict[str, tuple[members.Member, bool]] = attrs.field(factory=dict)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+    flushing: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Listen to the store and to the table of members."""
+        self.store.listeners.append(self._offer_to_all)
+        self.table.listeners.append(self._note_member)
+
+    def take(
+        self, connection: connections.Connection, message: messages.Message
+    ) -> bool:
+        """Take a message of a subscriber and return whether it was one."""
+        match message:
+            case messages.Subscribe():
+                self._subscribe(connection, message)
+            case messages.Announce():
+                self._attach(connection, message)
+            case messages.Need():
+                self._send_documents(connection, message)
+            case messages.Applied():
+                self._note_applied(connection, message)
+            case messages.Unsubscribe():
+                self._unsubscribe(connection)
+            case _:
+                return False
+        return True
+
+    def attach_own(self, record: members.Member) -> None:
+        """Take up the record of this node itself."""
+        self.attached[record.node] = record
+        self.table.update(record)
+
+    def lost(self, connection: connections.Connection) -> None:
+        """Drop a subscriber whose connection has ended."""
+        subscriber = self.subscribers.pop(connection, None)
+        if subscriber is not None and subscriber.member is not None:
+            self._run(self._expire(subscriber.member))
+
+    def publish_relays(self) -> None:
+        """Tell all subscribers which nodes are relays."""
+        message = messages.Relays(self.directory.addresses)
+        for subscriber in list(self.subscribers.values()):
+            self._send(subscriber, message)
+
+    def applied(self) -> dict[str, int]:
+        """Return the configuration in force on each attached node."""
+        return {
+            subscriber.connection.node: subscriber.number
+            for subscriber in self.subscribers.values()
+        }
+
+    def _subscribe(
+        self,
+        connection: connections.Connection,
+        message: messages.Subscribe,
+    ) -> None:
+        subscriber = Subscriber(connection, message.is_relay, message.number)
+        self.subscribers[connection] = subscriber
+        self._send(subscriber, messages.Relays(self.directory.addresses))
+        self._send(subscriber, self._all_members(message.is_relay))
+        if message.number < self.store.snapshot.number:
+            self._offer(subscriber, self.store.snapshot)
+
+    def _all_members(self, is_relay: bool) -> messages.Members:
+        chosen = self.attached if is_relay else self.table.members
+        records = [codec.member_to_wire(item) for item in chosen.values()]
+        return messages.Members(records, [], True)
+
+    def _attach(
+        self, connection: connections.Connection, message: messages.Announce
+    ) -> None:
+        record = codec.member_from_wire(message.member)
+        if record.node != connection.node:
+            raise errors.ProtocolError('a record of another node')
+        subscriber = self.subscribers.get(connection)
+        if subscriber is not None:
+            subscriber.member = record
+        self.attached[record.node] = record
+        self.table.update(record)
+
+    def _unsubscribe(self, connection: connections.Connection) -> None:
+        """Forget a subscriber that another node feeds and vouches for."""
+        subscriber = self.subscribers.pop(connection, None)
+        if subscriber is not None and subscriber.member is not None:
+            self.attached.pop(subscriber.member.node, None)
+
+    async def _expire(self, record: members.Member) -> None:
+        """Declare a node gone unless it comes back within the grace."""
+        await self.clock.sleep(GRACE_S)
+        current = self.attached.get(record.node)
+        if current is not None and current.order > record.order:
+            return
+        is_back = any(
+            item.connection.node == record.node
+            for item in self.subscribers.values()
+        )
+        if not is_back:
+            self.attached.pop(record.node, None)
+            self.table.remove(record.node, record.order)
+
+    def _offer_to_all(self, snapshot: snapshots.Snapshot) -> None:
+        for subscriber in list(self.subscribers.values()):
+            if subscriber.number < snapshot.number:
+                self._offer(subscriber, snapshot)
+
+    def _offer(
+        self, subscriber: Subscriber, snapshot: snapshots.Snapshot
+    ) -> None:
+        """Offer a configuration with the documents that are new."""
+        digests = frozenset(snapshot.documents)
+        fresh = {
+            digest: snapshot.documents[digest]
+            for digest in digests - subscriber.documents
+        }
+        subscriber.documents = digests
+        self.counters.add('relay_offers')
+        self._send(
+            subscriber, messages.Offer(snapshot.manifest.to_value(), fresh)
+        )
+
+    def _send_documents(
+        self, connection: connections.Connection, message: messages.Need
+    ) -> None:
+        known = self.store.snapshot.documents
+        found = {d: known[d] for d in message.digests if d in known}
+        connection.send(
+            messages.Offer(self.store.snapshot.manifest.to_value(), found)
+        )
+
+    def _note_applied(
+        self, connection: connections.Connection, message: messages.Applied
+    ) -> None:
+        subscriber = self.subscribers.get(connection)
+        if subscriber is not None:
+            subscriber.number = max(subscriber.number, message.number)
+
+    def _note_member(self, record: members.Member, is_present: bool) -> None:
+        self.news[record.node] = (record, is_present)
+        if self.flushing is None or self.flushing.done():
+            self.flushing = self._run(self._flush())
+
+    async def _flush(self) -> None:
+        await self.clock.sleep(FLUSH_S)
+        news, self.news = self.news, {}
+        own = {
+            node: item
+            for node, item in news.items()
+            if node in self.attached or not item[1]
+        }
+        for_nodes, for_relays = _message(news), _message(own)
+        for subscriber in list(self.subscribers.values()):
+            message = for_relays if subscriber.is_relay else for_nodes
+            if message.records or message.ends:
+                self._send(subscriber, message)
+
+    def _send(self, subscriber: Subscriber, message: messages.Message) -> None:
+        try:
+            subscriber.connection.send(message)
+        except errors.LinkClosedError:
+            self.lost(subscriber.connection)
+
+    def _run(self, work: abc.Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+
+def _message(
+    news: dict[str, tuple[members.Member, bool]],
+) -> messages.Members:
+    return messages.Members(
+        [
+            codec.member_to_wire(r)
+            for r, is_present in news.values()
+            if is_present
+        ],
+        [
+            [r.node, *r.order]
+            for r, is_present in news.values()
+            if not is_present
+        ],
+        False,
+    )
--- /dev/null
+++ b/pomelobend/documents/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration documents that operators declare, and their rules."""
--- /dev/null
+++ b/pomelobend/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets exist, who announces them, and which news is newer."""
--- /dev/null
+++ b/pomelobend/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters kept on the hot path and their exposition."""
--- /dev/null
+++ b/pomelobend/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and the connections that carry them."""
--- /dev/null
+++ b/pomelobend/peers/pool.py
@@ -0,0 +1,164 @@
+"""The connections of a node: one for each other node."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import attrs
+import picows.websockets as websockets
+import structlog
+
+from pomelobend import config
+from pomelobend import errors
+from pomelobend.peers import connection as connections
+from pomelobend.peers import messages
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from pomelobend import clock as clocks
+    from pomelobend.metrics import counters as counter_module
+
+logger = structlog.get_logger('peers')
+
+
+@attrs.define(eq=False)
+class Pool:
+    """Opens, accepts and keeps connections to other nodes.
+
+    Parameters
+    ----------
+    hello : messages.Hello
+        Greeting of this node.
+    on_open, on_close : list of callable
+        Called with each connection when it begins and when it has ended.
+    """
+
+    settings: config.Settings
+    clock: clocks.Clock
+    hello: messages.Hello
+    counters: counter_module.Counters
+    handler: connections.Handler | None = None
+    by_address: dict[str, connections.Connection] = attrs.field(factory=dict)
+    accepted: set[connections.Connection] = attrs.field(factory=set)
+    dialling: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+    on_open: list[abc.Callable] = attrs.field(factory=list)
+    on_close: list[abc.Callable] = attrs.field(factory=list)
+    server: typing.Any = None
+
+    async def listen(self) -> None:
+        """Accept connections of other nodes."""
+        host, port = config.split_address(self.settings.listen.peers)
+        self.server = await websockets.serve(
+            self._accept,
+            host,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=self.settings.limits.message_bytes,
+        )
+
+    async def get(self, address: str) -> connections.Connection:
+        """Return the connection to a node, opening it where needed.
+
+        Raises
+        ------
+        errors.PeerError
+        """
+        known = self.by_address.get(address)
+        if known is not None and not known.is_closed:
+            return known
+        task = self.dialling.get(address)
+        if task is None:
+            task = asyncio.create_task(self._dial(address))
+            self.dialling[address] = task
+            task.add_done_callback(lambda done: self._dialled(address, done))
+        return await asyncio.shield(task)
+
+    def all(self) -> list[connections.Connection]:
+        """Return every open connection."""
+        return [*self.by_address.values(), *self.accepted]
+
+    def say_goodbye(self) -> None:
+        """Ask all other nodes to begin no new call here."""
+        for connection in self.all():
+            if not connection.is_closed:
+                connection.send(messages.Goodbye())
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self.server is not None:
+            self.server.close()
+        await asyncio.gather(*(c.close() for c in self.all()))
+
+    async def _dial(self, address: str) -> connections.Connection:
+        timeout = self.settings.peers.connect.total_seconds()
+        try:
+            socket = await asyncio.wait_for(
+                websockets.connect(
+                    f'ws://{address}/',
+                    compression=None,
+                    ping_interval=None,
+                    proxy=None,
+                    max_size=self.settings.limits.message_bytes,
+                ),
+                timeout,
+            )
+            hello = await connections.greet(socket, self.hello, timeout)
+        except errors.PeerError as error:
+            self.counters.add('peer_greeting_failed', error.code)
+            await socket.close()
+            raise
+        except (OSError, TimeoutError, websockets.WebSocketException) as err:
+            raise errors.LinkClosedError(
+                f'no connection to {address}: {err!r}'
+            ) from err
+        connection = self._build(socket, hello, is_dialler=True)
+        self.by_address[address] = connection
+        self._start(connection)
+        return connection
+
+    def _dialled(self, address: str, task: asyncio.Task) -> None:
+        del self.dialling[address]
+        if not task.cancelled():
+            task.exception()
+
+    async def _accept(self, socket: typing.Any) -> None:
+        timeout = self.settings.peers.connect.total_seconds()
+        try:
+            hello = await connections.greet(socket, self.hello, timeout)
+        except errors.PeerError as error:
+            self.counters.add('peer_greeting_failed', error.code)
+            logger.warning('peers: greeting failed', why=str(error))
+            return
+        connection = self._build(socket, hello, is_dialler=False)
+        self.accepted.add(connection)
+        await self._serve(connection)
+
+    def _build(
+        self, socket: typing.Any, hello: messages.Hello, *, is_dialler: bool
+    ) -> connections.Connection:
+        return connections.Connection(
+            socket, hello, is_dialler, self.handler, self.settings, self.clock
+        )
+
+    def _start(self, connection: connections.Connection) -> None:
+        task = asyncio.create_task(self._serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _serve(self, connection: connections.Connection) -> None:
+        for listener in self.on_open:
+            listener(connection)
+        try:
+            await connection.run()
+        finally:
+            self.accepted.discard(connection)
+            address = connection.hello.address
+            if self.by_address.get(address) is connection:
+                del self.by_address[address]
+            self.counters.add('peer_late_messages', '', connection.late)
+            for listener in self.on_close:
+                listener(connection)
--- /dev/null
+++ b/pomelobend/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API: commands and queries apart."""
--- /dev/null
+++ b/pomelobend/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Finding the route of a call, choosing its target, and retrying."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: platform, targets and callers."""
