Send between nodes without a writer task, and restart lasting tasks

Cause looked for: the added latency. Each message waited for a writer task to be scheduled, since the websockets interface only sends from a coroutine. Change: picows' own interface behind a small Link; sending hands the bytes to the socket at once.

Found on the way: a lasting task that failed left the node running without its feed. Lasting tasks are now run again and the failure is logged. A relay took the list of relays from others over its own reading; it now keeps its own.

--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -54,6 +54,9 @@
 
 logger = structlog.get_logger('node')
 
+RESTART_S = 1.0
+"""Pause before a lasting task that has failed is run again."""
+
 LEAVE_S = 1.0
 """Time for the news that a node is leaving to reach the others."""
 
@@ -196,7 +199,7 @@
         await self.pool.listen()
         await self.api.listen()
         await self.front.listen()
-        for work in (self.feed.run(), self.duty.run(), self.local.watch()):
+        for work in (self.feed.run, self.duty.run, self.local.watch):
             self._run(work)
         gc.collect()
         gc.freeze()
@@ -316,12 +319,16 @@
         while self.in_flight and self.clock.monotonic() < end:
             await self.clock.sleep(0.02)
 
-    def _run(self, work: abc.Coroutine) -> None:
-        task = asyncio.create_task(work)
+    def _run(self, work: abc.Callable[[], abc.Coroutine]) -> None:
+        task = asyncio.create_task(self._supervise(work))
         self.tasks.add(task)
-        task.add_done_callback(self._ended)
+        task.add_done_callback(self.tasks.discard)
 
-    def _ended(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error('node: task failed', exc_info=task.exception())
+    async def _supervise(self, work: abc.Callable[[], abc.Coroutine]) -> None:
+        """Run a lasting task, again after a failure nobody foresaw."""
+        while True:
+            try:
+                await work()
+            except Exception:
+                logger.exception('node: task failed')
+            await self.clock.sleep(RESTART_S)
--- a/pomelobend/distribution/feed.py
+++ b/pomelobend/distribution/feed.py
@@ -226,6 +226,8 @@
     def _take_relays(self, message: messages.Relays) -> None:
         if not all(messages.is_texts(v) for v in message.addresses.values()):
             raise errors.ProtocolError('Relays: wrong addresses')
+        if self.is_relay:
+            return
         self.directory.addresses = dict(message.addresses)
         if not self._is_listed():
             self.moved.set()
--- a/pomelobend/peers/connection.py
+++ b/pomelobend/peers/connection.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import typing
 
 import attrs
-import picows.websockets as websockets
 import structlog
 
 from pomelobend import errors
@@ -18,6 +16,7 @@
 if typing.TYPE_CHECKING:
     from pomelobend import clock as clocks
     from pomelobend import config
+    from pomelobend.peers import link as links
 
 logger = structlog.get_logger('peers')
 
@@ -53,8 +52,7 @@
 
     Parameters
     ----------
-    socket : object
-        Websocket with ``send``, ``recv`` and ``close``.
+    link : links.Link
     hello : messages.Hello
         Greeting of the other node.
     is_dialler : bool
@@ -63,7 +61,7 @@
         Messages dropped because their call had ended.
     """
 
-    socket: typing.Any
+    link: links.Link
     hello: messages.Hello
     is_dialler: bool
     handler: Handler
@@ -71,7 +69,6 @@
     clock: clocks.Clock
     streams: dict[int, streams.Stream] = attrs.field(factory=dict)
     serving: dict[int, asyncio.Task] = attrs.field(factory=dict)
-    outbox: asyncio.Queue = attrs.field(factory=asyncio.Queue)
     next_call: int = 0
     heard_at: float = 0.0
     free: int = 0
@@ -105,7 +102,10 @@
         self.streams.pop(stream.call, None)
 
     def send(self, message: messages.Message) -> None:
-        """Queue a message for the other node.
+        """Hand a message for the other node to the socket.
+
+        It is written at once or, where the socket is full, buffered; the
+        windows of the calls bound how much that can be.
 
         Raises
         ------
@@ -113,12 +113,11 @@
         """
         if self.is_closed:
             raise errors.LinkClosedError(f'connection to {self.node} ended')
-        self.outbox.put_nowait(codec.encode(message))
+        self.link.send(codec.encode(message))
 
     async def run(self) -> None:
         """Serve the connection until it ends, then fail what is left."""
         self.heard_at = self.clock.monotonic()
-        writer = asyncio.create_task(self._write())
         beat = asyncio.create_task(self._beat())
         detail = 'closed'
         try:
@@ -126,34 +125,24 @@
         except errors.ProtocolError as error:
             detail = str(error)
             logger.warning('peers: bad message', node=self.node, why=detail)
-        except websockets.ConnectionClosed as error:
+        except errors.LinkClosedError as error:
             detail = str(error)
         finally:
             self._end(detail)
-            writer.cancel()
             beat.cancel()
-            with contextlib.suppress(Exception):
-                await asyncio.wait_for(self.socket.close(), 0.2)
+            await self.link.close()
 
     async def close(self) -> None:
         """End the connection."""
         self._end('closed here')
-        with contextlib.suppress(Exception):
-            await asyncio.wait_for(self.socket.close(), 0.2)
+        await self.link.close()
 
     async def _read(self) -> None:
         while not self.is_closed:
-            data = await self.socket.recv()
+            data = await self.link.receive()
             self.heard_at = self.clock.monotonic()
-            if not isinstance(data, bytes):
-                raise errors.ProtocolError('a text message')
             self._dispatch(codec.decode(data))
 
-    async def _write(self) -> None:
-        with contextlib.suppress(websockets.ConnectionClosed):
-            while True:
-                await self.socket.send(await self.outbox.get())
-
     async def _beat(self) -> None:
         """Send heartbeats and give up a connection that fell silent."""
         interval = self.settings.peers.heartbeat.total_seconds()
@@ -165,7 +154,7 @@
             if quiet > silence:
                 logger.warning('peers: silent connection', node=self.node)
                 self._end(f'silent for {quiet:.1f} s')
-                self.socket.transport.abort()
+                self.link.abort()
 
     def _dispatch(self, message: messages.Message) -> None:
         kind = type(message)
@@ -217,9 +206,9 @@
 
 
 async def greet(
-    socket: typing.Any, own: messages.Hello, timeout_s: float
+    link: links.Link, own: messages.Hello, timeout_s: float
 ) -> messages.Hello:
-    """Exchange greetings on a new websocket.
+    """Exchange greetings on a new link.
 
     Raises
     ------
@@ -228,12 +217,11 @@
     errors.LinkClosedError
     """
     try:
-        await socket.send(codec.encode(own))
-        data = await asyncio.wait_for(socket.recv(), timeout_s)
-    except (websockets.ConnectionClosed, TimeoutError) as error:
-        raise errors.LinkClosedError(f'no greeting: {error!r}') from error
-    if not isinstance(data, bytes):
-        raise errors.ProtocolError('a text message')
+        link.send(codec.encode(own))
+        async with asyncio.timeout(timeout_s):
+            data = await link.receive()
+    except TimeoutError as error:
+        raise errors.LinkClosedError('no greeting in time') from error
     hello = codec.decode(data)
     if type(hello) is not messages.Hello:
         raise errors.ProtocolError('the first message is not a greeting')
--- a/pomelobend/peers/pool.py
+++ b/pomelobend/peers/pool.py
@@ -6,19 +6,19 @@
 import typing
 
 import attrs
-import picows.websockets as websockets
 import structlog
 
-from pomelobend import config
 from pomelobend import errors
 from pomelobend.peers import connection as connections
-from pomelobend.peers import messages
+from pomelobend.peers import link as links
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from pomelobend import clock as clocks
+    from pomelobend import config
     from pomelobend.metrics import counters as counter_module
+    from pomelobend.peers import messages
 
 logger = structlog.get_logger('peers')
 
@@ -50,14 +50,10 @@
 
     async def listen(self) -> None:
         """Accept connections of other nodes."""
-        host, port = config.split_address(self.settings.listen.peers)
-        self.server = await websockets.serve(
+        self.server = await links.listen(
+            self.settings.listen.peers,
+            self.settings.limits.message_bytes,
             self._accept,
-            host,
-            port,
-            compression=None,
-            ping_interval=None,
-            max_size=self.settings.limits.message_bytes,
         )
 
     async def get(self, address: str) -> connections.Connection:
@@ -94,28 +90,12 @@
         await asyncio.gather(*(c.close() for c in self.all()))
 
     async def _dial(self, address: str) -> connections.Connection:
-        timeout = self.settings.peers.connect.total_seconds()
-        try:
-            socket = await asyncio.wait_for(
-                websockets.connect(
-                    f'ws://{address}/',
-                    compression=None,
-                    ping_interval=None,
-                    proxy=None,
-                    max_size=self.settings.limits.message_bytes,
-                ),
-                timeout,
-            )
-            hello = await connections.greet(socket, self.hello, timeout)
-        except errors.PeerError as error:
-            self.counters.add('peer_greeting_failed', error.code)
-            await socket.close()
-            raise
-        except (OSError, TimeoutError, websockets.WebSocketException) as err:
-            raise errors.LinkClosedError(
-                f'no connection to {address}: {err!r}'
-            ) from err
-        connection = self._build(socket, hello, is_dialler=True)
+        timeout_s = self.settings.peers.connect.total_seconds()
+        link = await links.Link.connect(
+            address, self.settings.limits.message_bytes, timeout_s
+        )
+        hello = await self._greet(link)
+        connection = self._build(link, hello, is_dialler=True)
         self.by_address[address] = connection
         self._start(connection)
         return connection
@@ -125,23 +105,31 @@
         if not task.cancelled():
             task.exception()
 
-    async def _accept(self, socket: typing.Any) -> None:
-        timeout = self.settings.peers.connect.total_seconds()
+    async def _accept(self, link: links.Link) -> None:
         try:
-            hello = await connections.greet(socket, self.hello, timeout)
+            hello = await self._greet(link)
         except errors.PeerError as error:
-            self.counters.add('peer_greeting_failed', error.code)
             logger.warning('peers: greeting failed', why=str(error))
             return
-        connection = self._build(socket, hello, is_dialler=False)
+        connection = self._build(link, hello, is_dialler=False)
         self.accepted.add(connection)
         await self._serve(connection)
 
+    async def _greet(self, link: links.Link) -> messages.Hello:
+        """Exchange greetings, or end the link."""
+        timeout_s = self.settings.peers.connect.total_seconds()
+        try:
+            return await connections.greet(link, self.hello, timeout_s)
+        except errors.PeerError as error:
+            self.counters.add('peer_greeting_failed', error.code)
+            await link.close()
+            raise
+
     def _build(
-        self, socket: typing.Any, hello: messages.Hello, *, is_dialler: bool
+        self, link: links.Link, hello: messages.Hello, *, is_dialler: bool
     ) -> connections.Connection:
         return connections.Connection(
-            socket, hello, is_dialler, self.handler, self.settings, self.clock
+            link, hello, is_dialler, self.handler, self.settings, self.clock
         )
 
     def _start(self, connection: connections.Connection) -> None:
