--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 import importlib
 import sys
 
-NAMES = ('added_latency',)
+NAMES = ('added_latency', 'convergence')
 
 
 def main() -> None:
--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -297,6 +297,7 @@
         self.pool.handler = self
         self.pool.on_close += [self.hub.lost, self.feed.lost]
         self.hub.start()
+        self.store.listeners.append(self.feed.report)
         self.announcer.listeners += [self.hub.attach_own]
         self.announcer.on_change.append(lambda _: self.feed.announce())
         self.table.listeners.append(dispatcher.chooser.forget)
@@ -309,6 +310,8 @@
             target_running=lambda: self.guard.running,
             members=lambda: len(self.table.members),
             connections=lambda: len(self.pool.all()),
+            peer_bytes_sent=lambda: self.pool.traffic.sent,
+            peer_bytes_received=lambda: self.pool.traffic.received,
             is_relay=lambda: int(self.feed.is_relay),
         )
         self.hub.attach_own(self.announcer.record)
--- a/pomelobend/configuration/manifest.py
+++ b/pomelobend/configuration/manifest.py
@@ -77,6 +77,10 @@
             ],
         }
 
+    def without_history(self) -> dict[str, typing.Any]:
+        """Return the plain form that nodes send each other."""
+        return {**self.to_value(), 'history': []}
+
     def find(self, identity: str) -> Change | None:
         """Return the accepted change of an identity."""
         return next((c for c in self.history if c.identity == identity), None)
--- a/pomelobend/distribution/feed.py
+++ b/pomelobend/distribution/feed.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from pomelobend import clock as clocks
     from pomelobend import config
+    from pomelobend.configuration import snapshot as snapshots
     from pomelobend.configuration import store as stores
     from pomelobend.distribution import relays
     from pomelobend.membership import announcer as announcers
@@ -99,6 +100,12 @@
                 return False
         return True
 
+    def report(self, snapshot: snapshots.Snapshot) -> None:
+        """Tell the relays that feed this node what is in force here."""
+        for source in list(self.sources):
+            if not source.is_closed:
+                source.send(messages.Applied(snapshot.number))
+
     def announce(self) -> None:
         """Send the own record to all relays that feed this node."""
         record = codec.member_to_wire(self.announcer.record)
@@ -200,8 +207,6 @@
             self.store.apply(manifest, offer.documents)
         except errors.PomelobendError as error:
             logger.warning('distribution: bad offer', why=str(error))
-            return
-        connection.send(messages.Applied(self.store.snapshot.number))
 
     def _take_members(
         self, connection: connections.Connection, news: messages.Members
--- a/pomelobend/distribution/hub.py
+++ b/pomelobend/distribution/hub.py
@@ -29,6 +29,9 @@
 FLUSH_S = 0.05
 """Time over which news of members is gathered into one message."""
 
+RELAY_DELAY_S = 1.0
+"""Time for which another relay is left to hear from the platform itself."""
+
 GRACE_S = 1.0
 """Time within which a node that lost its connection may come back."""
 
@@ -163,7 +166,17 @@
 
     def _offer_to_all(self, snapshot: snapshots.Snapshot) -> None:
         for subscriber in list(self.subscribers.values()):
-            if subscriber.number < snapshot.number:
+            if not subscriber.is_relay and subscriber.number < snapshot.number:
+                self._offer(subscriber, snapshot)
+        self._run(self._offer_to_relays(snapshot))
+
+    async def _offer_to_relays(self, snapshot: snapshots.Snapshot) -> None:
+        """Offer to relays that did not get it from the platform in time."""
+        await self.clock.sleep(RELAY_DELAY_S)
+        if snapshot is not self.store.snapshot:
+            return
+        for subscriber in list(self.subscribers.values()):
+            if subscriber.is_relay and subscriber.number < snapshot.number:
                 self._offer(subscriber, snapshot)
 
     def _offer(
@@ -178,7 +191,8 @@
         subscriber.documents = digests
         self.counters.add('relay_offers')
         self._send(
-            subscriber, messages.Offer(snapshot.manifest.to_value(), fresh)
+            subscriber,
+            messages.Offer(snapshot.manifest.without_history(), fresh),
         )
 
     def _send_documents(
@@ -187,7 +201,9 @@
         known = self.store.snapshot.documents
         found = {d: known[d] for d in message.digests if d in known}
         connection.send(
-            messages.Offer(self.store.snapshot.manifest.to_value(), found)
+            messages.Offer(
+                self.store.snapshot.manifest.without_history(), found
+            )
         )
 
     def _note_applied(
--- a/pomelobend/peers/link.py
+++ b/pomelobend/peers/link.py
@@ -6,6 +6,7 @@
 import collections
 import typing
 
+import attrs
 import picows
 
 from pomelobend import config
@@ -21,6 +22,14 @@
 """Longest wait for the other end when a link is closed."""
 
 
+@attrs.define
+class Traffic:
+    """Bytes of messages that all links of a node have carried."""
+
+    sent: int = 0
+    received: int = 0
+
+
 class Link(picows.WSListener):
     """One end of a websocket, read by one task.
 
@@ -28,7 +37,8 @@
     windows of the calls bound how much that can be.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self.traffic = traffic or Traffic()
         self.transport: typing.Any = None
         self.inbox: collections.deque[bytes] = collections.deque()
         self.arrival: asyncio.Future | None = None
@@ -37,7 +47,11 @@
 
     @classmethod
     async def connect(
-        cls, address: str, largest: int, timeout_s: float
+        cls,
+        address: str,
+        largest: int,
+        timeout_s: float,
+        traffic: Traffic | None = None,
     ) -> Link:
         """Open a link to an address.
 
@@ -48,7 +62,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, link = await picows.ws_connect(
-                    cls,
+                    lambda: cls(traffic),
                     f'ws://{address}/',
                     enable_auto_pong=True,
                     max_frame_size=largest,
@@ -75,7 +89,9 @@
             self.fail(errors.ProtocolError(f'a frame of kind {kind.name}'))
             transport.disconnect(False)
         else:
-            self.inbox.append(frame.get_payload_as_bytes())
+            data = frame.get_payload_as_bytes()
+            self.traffic.received += len(data)
+            self.inbox.append(data)
             self._wake()
             if len(self.inbox) > HIGH_MARK and not self.is_paused:
                 self.is_paused = True
@@ -94,6 +110,7 @@
         """
         if self.error is not None or self.transport.is_disconnected:
             raise errors.LinkClosedError(str(self.error or 'disconnected'))
+        self.traffic.sent += len(data)
         self.transport.send(picows.WSMsgType.BINARY, data)
 
     async def receive(self) -> bytes:
@@ -147,6 +164,7 @@
     address: str,
     largest: int,
     accept: abc.Callable[[Link], abc.Coroutine],
+    traffic: Traffic,
 ) -> asyncio.Server:
     """Accept links and run a coroutine for each of them."""
     tasks: set[asyncio.Task] = set()
@@ -163,7 +181,7 @@
 
     host, port = config.split_address(address)
     return await picows.ws_create_server(
-        lambda _: Accepted(),
+        lambda _: Accepted(traffic),
         host,
         port,
         enable_auto_pong=True,
--- a/pomelobend/peers/pool.py
+++ b/pomelobend/peers/pool.py
@@ -46,6 +46,7 @@
     tasks: set[asyncio.Task] = attrs.field(factory=set)
     on_open: list[abc.Callable] = attrs.field(factory=list)
     on_close: list[abc.Callable] = attrs.field(factory=list)
+    traffic: links.Traffic = attrs.field(factory=links.Traffic)
     server: typing.Any = None
 
     async def listen(self) -> None:
@@ -54,6 +55,7 @@
             self.settings.listen.peers,
             self.settings.limits.message_bytes,
             self._accept,
+            self.traffic,
         )
 
     async def get(self, address: str) -> connections.Connection:
@@ -92,7 +94,10 @@
     async def _dial(self, address: str) -> connections.Connection:
         timeout_s = self.settings.peers.connect.total_seconds()
         link = await links.Link.connect(
-            address, self.settings.limits.message_bytes, timeout_s
+            address,
+            self.settings.limits.message_bytes,
+            timeout_s,
+            self.traffic,
         )
         hello = await self._greet(link)
         connection = self._build(link, hello, is_dialler=True)
