--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export UV_USE_IO_URING := 0
 
-.PHONY: demo test lint format dist clean
+.PHONY: demo test docs lint format dist clean
 
 demo: .venv/ready
 	$(BIN)/python -m standins.demo
@@ -10,6 +10,9 @@
 test: .venv/ready
 	$(BIN)/python -m tests.run
 
+docs: .venv/ready
+	$(BIN)/python -m tools.reference
+
 lint: .venv/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -21,7 +24,7 @@
 dist: dist/pomelobend
 
 dist/pomelobend: .venv/ready pyproject.toml $(shell find pomelobend -name '*.py')
-	$(BIN)/python -m standins.build $@
+	$(BIN)/python -m tools.build $@
 
 .venv/ready: requirements.txt requirements-dev.txt
 	test -d .venv || $(PYTHON) -m venv .venv
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 import importlib
 import sys
 
-NAMES = ('added_latency', 'convergence', 'memory')
+NAMES = ('added_latency', 'capacity', 'convergence', 'memory', 'relay')
 
 
 def main() -> None:
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that build what is shipped."""
