Run calls with an idempotency key at most once, by claims in the platform

Before a call with a key is sent to the target, the node at the target creates a claim under the condition that there is none; what became of the call is written to it, and a call sent again gets the kept answer. A claim whose holder is gone is never taken over.

--- a/pomelobend/admission/guard.py
+++ b/pomelobend/admission/guard.py
@@ -16,6 +16,7 @@
     from collections import abc
 
     from pomelobend.admission import limiter as limiters
+    from pomelobend.claims import runner as runners
     from pomelobend import clock as clocks
     from pomelobend import config
     from pomelobend.metrics import counters as counter_module
@@ -24,6 +25,15 @@
 SHED_STATUS = frozenset((429, 503))
 """Answers by which a target sheds load."""
 
+_OVERLOAD = frozenset(
+    (
+        errors.Reason.TARGET_UNREACHABLE,
+        errors.Reason.TARGET_LOST,
+        errors.Reason.TARGET_TIMEOUT,
+    )
+)
+"""Refusals that may come of too much work at the target."""
+
 
 @attrs.define(eq=False)
 class Guard:
@@ -37,6 +47,7 @@
     clock: clocks.Clock
     limiter: limiters.Limiter
     client: target_clients.Client
+    runner: runners.Runner
     counters: counter_module.Counters
     service: str = ''
     state: members.State = members.State.ABSENT
@@ -125,9 +136,10 @@
         self.counters.add('calls_admitted')
         started_at = self.clock.monotonic()
         try:
-            answer = await self.client.call(call)
-        except errors.CallRefusedError:
-            self.limiter.note_overload()
+            answer = await self.runner.call(call)
+        except errors.CallRefusedError as refusal:
+            if refusal.reason in _OVERLOAD:
+                self.limiter.note_overload()
             raise
         if answer.status in SHED_STATUS:
             self.limiter.note_overload()
--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -17,6 +17,8 @@
 from pomelobend.admission import guard as guards
 from pomelobend.admission import limiter as limiters
 from pomelobend.callers import front as fronts
+from pomelobend.claims import ledger as ledgers
+from pomelobend.claims import runner as runners
 from pomelobend import clock as clocks
 from pomelobend.configuration import commands as configuration_commands
 from pomelobend.configuration import queries as configuration_queries
@@ -107,13 +109,16 @@
         reads = platform_queries.Queries(session)
         writes = platform_commands.Commands(session)
         accepted = configuration_queries.Queries(reads)
+        client = target_clients.Client.from_config(clock)
+        ledger = ledgers.Ledger(reads, writes, clock, counters)
         guard = guards.Guard(
             settings.target,
             clock,
             limiters.Limiter(
                 clock, settings.target.slow_start.total_seconds()
             ),
-            target_clients.Client.from_config(clock),
+            client,
+            runners.Runner(client, ledger),
             counters,
         )
         hello = messages.Hello(
@@ -223,6 +228,7 @@
             task.cancel()
         self.duty.lay_down()
         await self.pool.close()
+        await self.guard.runner.ledger.close()
         self.guard.client.close()
         await self.session.close()
         logger.info('node: stopped', in_flight=self.in_flight)
--- a/pomelobend/callers/front.py
+++ b/pomelobend/callers/front.py
@@ -31,6 +31,9 @@
 WHOLE_BYTES = 64 * 1024
 """Largest body of a request that is read as a whole before it is sent."""
 
+KEY_LENGTH = 256
+"""Largest number of characters in an idempotency key."""
+
 STATUS = {
     errors.Reason.NO_ROUTE: 404,
     errors.Reason.BAD_REQUEST: 400,
@@ -41,6 +44,9 @@
     errors.Reason.TARGET_TIMEOUT: 504,
     errors.Reason.TARGET_LOST: 502,
     errors.Reason.PEER_LOST: 502,
+    errors.Reason.ALREADY_CLAIMED: 409,
+    errors.Reason.ALREADY_RUN: 409,
+    errors.Reason.KEY_REUSED: 422,
 }
 """Status of refusals; any other reason is answered with 503."""
 
@@ -157,7 +163,7 @@
             ],
             self.clock.monotonic() + limit_s,
             _whole(headers, calls.ATTEMPT_HEADER, 0),
-            headers.get(calls.KEY_HEADER, ''),
+            _key(headers),
         )
 
     async def _send(
@@ -221,6 +227,15 @@
     return int(text)
 
 
+def _key(headers: abc.Mapping[str, str]) -> str:
+    key = headers.get(calls.KEY_HEADER, '')
+    if len(key) > KEY_LENGTH:
+        raise errors.CallRefusedError(
+            errors.Reason.BAD_REQUEST, detail=f'{calls.KEY_HEADER} is too long'
+        )
+    return key
+
+
 async def _take_body(request: requests.Request, call: calls.Call) -> None:
     """Read a small body as a whole; leave a large one to be streamed."""
     stream = request.stream
--- a/pomelobend/calls.py
+++ b/pomelobend/calls.py
@@ -22,6 +22,9 @@
 KEY_HEADER = 'idempotency-key'
 """Names a call that must run at most once, however often it is sent."""
 
+REPLAYED_HEADER = 'pomelobend-replayed'
+"""On an answer that was kept from an earlier run of the same call."""
+
 HOP_BY_HOP = frozenset(
     (
         'connection',
--- a/pomelobend/errors.py
+++ b/pomelobend/errors.py
@@ -118,6 +118,7 @@
 
     NOT_RUN = 'not-run'
     UNKNOWN = 'unknown'
+    DONE = 'done'
 
 
 class Reason(enum.StrEnum):
@@ -141,6 +142,10 @@
     HEADERS_TOO_LARGE = 'headers-too-large'
     BODY_INCOMPLETE = 'body-incomplete'
     CANCELLED = 'cancelled'
+    PLATFORM_AWAY = 'platform-away'
+    ALREADY_CLAIMED = 'already-claimed'
+    ALREADY_RUN = 'already-run'
+    KEY_REUSED = 'key-reused'
 
 
 class CallRefusedError(PomelobendError):
--- a/pomelobend/metrics/exposition.py
+++ b/pomelobend/metrics/exposition.py
@@ -29,6 +29,8 @@
     'relay_offers': 'Configurations offered to other nodes.',
     'feed_lost': 'Connections to a relay that were lost.',
     'lease_changes': 'Changes of the relay lease, by kind.',
+    'claims_replayed': 'Calls with a key answered from an earlier run.',
+    'claims_unsettled': 'Calls with a key whose outcome was not written.',
     'admin_refused': 'Administration requests refused, by code.',
 }
 """Every counter, with its help text."""
--- a/pomelobend/routing/retry.py
+++ b/pomelobend/routing/retry.py
@@ -68,5 +68,9 @@
         errors.Reason.BODY_INCOMPLETE,
         errors.Reason.CANCELLED,
         errors.Reason.TARGET_TIMEOUT,
+        errors.Reason.PLATFORM_AWAY,
+        errors.Reason.ALREADY_CLAIMED,
+        errors.Reason.ALREADY_RUN,
+        errors.Reason.KEY_REUSED,
     )
 )
--- a/pomelobend/targets/client.py
+++ b/pomelobend/targets/client.py
@@ -48,10 +48,12 @@
             ``NOT_RUN`` only where no byte of the call was sent.
         """
         left = call.deadline - self.clock.monotonic()
+        if left <= 0:
+            raise errors.CallRefusedError(errors.Reason.DEADLINE_PASSED)
         is_sent = False
         channel = None
         try:
-            async with asyncio.timeout(max(0.0, left)):
+            async with asyncio.timeout(left):
                 channel = await self.channels.take(
                     is_idempotent=call.route.rule.is_idempotent
                 )
