--- a/standins/demo.py
+++ b/standins/demo.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 import json
 import pathlib
 import sys
@@ -19,16 +20,11 @@
 DOCUMENT = fleets.ROOT / 'examples' / 'sudurland.jsonc'
 START_S = 60.0
 
-VMS = (
-    ('selfoss', 'tonabok'),
-    ('selfoss', 'steypudagar'),
-    ('hella', 'tonabok'),
-    ('hella', 'innborgun'),
-    ('hella', 'tilbodasafn'),
-    ('hella', 'tonabok'),
-    ('selfoss', 'tonabok'),
-)
-"""Failure domain and service of each VM, a part of Sudurland."""
+DOMAINS = ('selfoss', 'hella', 'hveragerdi', 'vik')
+SERVICES = ('tonabok', 'steypudagar', 'tilbodasafn', 'innborgun')
+SLOTS = 6
+VMS = tuple(itertools.product(DOMAINS, SERVICES))
+"""Failure domain and service of each VM: four targets of each service."""
 
 CALLS = (
     ('GET', '/tonabok/bells', 30),
@@ -98,7 +94,9 @@
         for index, (domain, service) in enumerate(VMS, 1):
             fleet.add_node(f'{domain}-{index}', domain)
             fleet.start_node(f'{domain}-{index}')
-            fleet.start_target(f'{domain}-{index}', service, '--cold-s', '1')
+            fleet.start_target(
+                f'{domain}-{index}', service, '--slots', str(SLOTS)
+            )
         print(
             f'started {len(fleet.processes)} processes: the platform, '
             f'{len(VMS)} nodes and {len(VMS)} targets'
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,6 +1,10 @@
-"""Run all features and count scenarios; pass over what KNOWN-RED.txt lists.
+"""Run linters and all features; pass over what KNOWN-RED.txt lists.
+
+Each linter and each scenario counts as one test.
 
 Usage: python -m tests.run [behave argument ...]
+
+With arguments only the features they name are run, and no linter.
 """
 
 from __future__ import annotations
@@ -16,6 +20,28 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
 
+LINTERS = (
+    ('ruff', 'format', '--check', '.'),
+    ('ruff', 'check', '.'),
+    ('flake8',),
+)
+
+
+def lint() -> list[tuple[str, str]]:
+    """Run the linters and return the name and the status of each."""
+    return [
+        (
+            ' '.join(command),
+            'failed'
+            if subprocess.run(
+                [sys.executable, '-m', *command], cwd=ROOT, check=False
+            ).returncode
+            else 'passed',
+        )
+        for command in LINTERS
+    ]
+
+
 def known_red() -> set[str]:
     """Return the scenarios that are listed as known to fail."""
     if not KNOWN_RED.exists():
@@ -50,11 +76,13 @@
         ended = subprocess.run(command, cwd=ROOT, check=False)
         text = path.read_text() if path.exists() else ''
         found = scenarios(json.loads(text or '[]'))
+    if not found:
+        found = [('no scenario was run', 'failed')]
+    if not sys.argv[1:]:
+        found += lint()
     counts = collections.Counter(status for _, status in found)
     failed = {name for name, s in found if s not in ('passed', 'skipped')}
     known = known_red()
-    if not found:
-        failed.add('no scenario was run')
     for name in sorted(failed & known):
         print(f'known red: {name}')
     for name in sorted(failed - known):
