--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -101,7 +101,7 @@
             incarnation,
             0,
             settings.domain,
-            settings.listen.peers,
+            settings.listen.reached_at,
         )
         announcer = announcers.Announcer(record)
         store, table = stores.Store(), tables.Table()
@@ -126,7 +126,7 @@
             settings.node,
             incarnation,
             settings.domain,
-            settings.listen.peers,
+            settings.listen.reached_at,
         )
         pool = pools.Pool(settings, clock, hello, counters)
         directory = relays.Directory()
--- a/pomelobend/config.py
+++ b/pomelobend/config.py
@@ -32,6 +32,16 @@
     admin: str = kinds.option(
         kinds.Address(), 'administration, health and metrics'
     )
+    advertised: str = kinds.option(
+        kinds.Text(),
+        'address that other nodes are told, where it is not that of peers',
+        default='',
+    )
+
+    @property
+    def reached_at(self) -> str:
+        """Return the address under which other nodes reach this one."""
+        return self.advertised or self.peers
 
 
 @attrs.frozen
--- a/pomelobend/distribution/feed.py
+++ b/pomelobend/distribution/feed.py
@@ -133,7 +133,7 @@
 
     def _wanted(self) -> list[str]:
         """Return addresses to subscribe to, the best first."""
-        own = self.settings.listen.peers
+        own = self.settings.listen.reached_at
         if self.is_relay:
             return self.directory.others(own)
         near = list(self.directory.addresses.get(self.settings.domain, ()))
--- a/pomelobend/distribution/lease.py
+++ b/pomelobend/distribution/lease.py
@@ -84,7 +84,7 @@
             self.settings.domain,
             slot,
             self.settings.node,
-            self.settings.listen.peers,
+            self.settings.listen.reached_at,
             self.incarnation,
             version,
         )
