Show the difference of a change and take a document back

A dry run answers the difference to the accepted document; restore accepts the content of an earlier configuration as a new one, as far back as the history of the manifest reaches (128 changes).

--- a/pomelobend/admin/api.py
+++ b/pomelobend/admin/api.py
@@ -14,6 +14,7 @@
 from pomelobend.admin import tokens as token_module
 from pomelobend import config
 from pomelobend.configuration import commands as configuration_commands
+from pomelobend.configuration import difference
 from pomelobend.documents import model
 from pomelobend.documents import validate
 from pomelobend import errors
@@ -80,6 +81,9 @@
         app.add_route(
             self.put_document, '/v1/documents/<team>', methods=['PUT']
         )
+        app.add_route(
+            self.restore, '/v1/documents/<team>/restore', methods=['POST']
+        )
         app.add_route(self.history, '/v1/history')
 
     async def health(self, request: requests.Request) -> typing.Any:
@@ -133,33 +137,33 @@
         self, request: requests.Request, team: str
     ) -> typing.Any:
         """Answer the accepted document of a team, as the platform has it."""
-        manifest, _ = await self.node.configuration_queries.manifest()
-        ref = manifest.documents.get(team)
-        if ref is None:
+        number, document = await self.node.configuration_queries.document(team)
+        if document is None:
             raise errors.PlatformNotFoundError(f'{team} has no document')
-        found = await self.node.configuration_queries.documents([ref.digest])
-        return responses.json(
-            {'number': ref.number, 'document': found[ref.digest]}
-        )
+        return responses.json({'number': number, 'document': document})
 
     async def put_document(
         self, request: requests.Request, team: str
     ) -> typing.Any:
         """Accept a document, or only check it."""
-        owner = self.tokens.team(request.headers.get('authorization', ''))
-        self.rates.take(owner.name)
-        change = _change(request, team, owner)
-        document = validate.parse(
-            sources.Source.from_value(change.document, f'{team}.json')
+        owner = self._owner(request)
+        source = sources.Source.from_text(
+            request.body.decode('utf-8', 'replace'), f'{team}.json'
         )
-        token_module.require_document_right(
-            owner, document, await self._domains_before(team)
+        change = _change(request, team, owner, source.value)
+        return await self._accept(request, owner, change)
+
+    async def restore(
+        self, request: requests.Request, team: str
+    ) -> typing.Any:
+        """Accept the content of an earlier configuration as a new one."""
+        owner = self._owner(request)
+        number = request.args.get('number', '')
+        document = await self.node.configuration_queries.document_at(
+            team, int(number) if number.isdigit() else -1
         )
-        if request.args.get('dry-run') == 'true':
-            built = await self.node.configuration_commands.check(change)
-            return responses.json({'number': built.number, 'accepted': False})
-        accepted = await self.node.configuration_commands.accept(change)
-        return responses.json({**attrs.asdict(accepted), 'accepted': True})
+        change = _change(request, team, owner, document)
+        return await self._accept(request, owner, change)
 
     async def history(self, request: requests.Request) -> typing.Any:
         """Answer the accepted changes, the newest first."""
@@ -168,17 +172,37 @@
             {'changes': [attrs.asdict(c) for c in manifest.history[::-1]]}
         )
 
-    async def _domains_before(
-        self, team: str
-    ) -> tuple[model.DomainDecision, ...]:
-        manifest, _ = await self.node.configuration_queries.manifest()
-        ref = manifest.documents.get(team)
-        if ref is None:
-            return ()
-        found = await self.node.configuration_queries.documents([ref.digest])
-        return validate.parse(
-            sources.Source.from_value(found[ref.digest], f'{team}.json')
-        ).domains
+    def _owner(self, request: requests.Request) -> config.Team:
+        """Return the team of a request that may send a change now."""
+        owner = self.tokens.team(request.headers.get('authorization', ''))
+        self.rates.take(owner.name)
+        return owner
+
+    async def _accept(
+        self,
+        request: requests.Request,
+        owner: config.Team,
+        change: configuration_commands.Request,
+    ) -> typing.Any:
+        """Accept a change, or show what it would change."""
+        document = validate.parse(
+            sources.Source.from_value(change.document, f'{change.team}.json')
+        )
+        _, before = await self.node.configuration_queries.document(change.team)
+        token_module.require_document_right(
+            owner, document, _domains(change.team, before)
+        )
+        if request.args.get('dry-run') == 'true':
+            built = await self.node.configuration_commands.check(change)
+            return responses.json(
+                {
+                    'number': built.number,
+                    'accepted': False,
+                    'difference': difference.lines(before, change.document),
+                }
+            )
+        accepted = await self.node.configuration_commands.accept(change)
+        return responses.json({**attrs.asdict(accepted), 'accepted': True})
 
     async def _answer_error(
         self, request: requests.Request, error: errors.PomelobendError
@@ -212,14 +236,23 @@
     )
 
 
+def _domains(
+    team: str, document: typing.Any
+) -> tuple[model.DomainDecision, ...]:
+    """Return the decisions about failure domains in a document."""
+    if document is None:
+        return ()
+    source = sources.Source.from_value(document, f'{team}.json')
+    return validate.parse(source).domains
+
+
 def _change(
-    request: requests.Request, team: str, owner: config.Team
+    request: requests.Request,
+    team: str,
+    owner: config.Team,
+    document: typing.Any,
 ) -> configuration_commands.Request:
     """Return the change that a request asks for."""
-    name = f'{team}.json'
-    source = sources.Source.from_text(
-        request.body.decode('utf-8', 'replace'), name
-    )
     expected = reader.read_source(
         _Arguments,
         sources.Source.from_value(
@@ -236,7 +269,7 @@
     return configuration_commands.Request(
         expected.change or uuid.uuid4().hex,
         team,
-        source.value,
+        document,
         expected.expected,
         owner.name,
     )
--- a/pomelobend/cmd/client.py
+++ b/pomelobend/cmd/client.py
@@ -45,6 +45,16 @@
         """
         return asyncio.run(self._request('PUT', path, body))
 
+    def post(self, path: str) -> typing.Any:
+        """Send a command without a body and return the JSON answer.
+
+        Raises
+        ------
+        exits.AdminError
+        exits.AdminUnreachableError
+        """
+        return asyncio.run(self._request('POST', path, None))
+
     async def _request(
         self, method: str, path: str, body: str | None
     ) -> typing.Any:
--- a/pomelobend/cmd/main.py
+++ b/pomelobend/cmd/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import json
 import pathlib
 import sys
 import typing
@@ -152,13 +153,29 @@
     client = clients.Client(node)
     if expected is None:
         expected = _accepted_number(client, document.team)
-    name = change or uuid.uuid4().hex
     answer = client.put(
-        f'/v1/documents/{document.team}?expected={expected}&change={name}'
-        f'&dry-run={"true" if dry_run else "false"}',
-        file.read_text(encoding='utf-8'),
+        f'/v1/documents/{document.team}?'
+        f'{_arguments(expected, change, dry_run)}',
+        json.dumps(source.value),
     )
-    _show(answer, output)
+    _show_change(answer, output)
+
+
+def _arguments(expected: int, change: str, dry_run: bool) -> str:
+    """Return the query of a change."""
+    name = change or uuid.uuid4().hex
+    dry = 'true' if dry_run else 'false'
+    return f'expected={expected}&change={name}&dry-run={dry}'
+
+
+def _show_change(answer: dict, form: output.Form) -> None:
+    """Show what became of a change, or what it would change."""
+    difference = answer.get('difference')
+    if form == 'json' or difference is None:
+        _show(answer, form)
+        return
+    for line in difference or ['nothing would change']:
+        print(line)
 
 
 def _accepted_number(client: clients.Client, team: str) -> int:
@@ -170,6 +187,43 @@
         raise
 
 
+@app.command
+@_reported
+def restore(
+    team: str,
+    number: int,
+    *,
+    expected: int | None = None,
+    dry_run: bool = False,
+    change: str = '',
+    node: Address = NODE,
+    output: Output = 'table',
+) -> None:
+    """Take a document back to what it was, as a new configuration.
+
+    Parameters
+    ----------
+    team
+        Team whose document is taken back.
+    number
+        Configuration whose content is wanted.
+    expected
+        As with apply.
+    dry_run
+        As with apply.
+    change
+        As with apply.
+    """
+    client = clients.Client(node)
+    if expected is None:
+        expected = _accepted_number(client, team)
+    answer = client.post(
+        f'/v1/documents/{team}/restore?number={number}'
+        f'&{_arguments(expected, change, dry_run)}'
+    )
+    _show_change(answer, output)
+
+
 @app.command
 @_reported
 def get(
@@ -254,8 +308,6 @@
     if form == 'json':
         _show(answer, form)
         return
-    import json
-
     print(json.dumps(answer['document'], indent=2))
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = 'token-of-the-stand-in-team'
+GUEST_TOKEN = 'token-of-a-team-with-few-rights'
 
 
 PORTS = range(15_000, 32_000)
@@ -50,6 +51,11 @@
     return True
 
 
+def _team(name: str, token: str, *rights: str) -> dict[str, typing.Any]:
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return {'name': name, 'token_sha256': digest, 'rights': list(rights)}
+
+
 @attrs.define(eq=False)
 class Process:
     """A process that the fleet has started."""
@@ -145,11 +151,8 @@
             'platform': {'address': self.platform_address},
             'logs': {'form': 'json'},
             'teams': [
-                {
-                    'name': 'samlag',
-                    'token_sha256': hashlib.sha256(TOKEN.encode()).hexdigest(),
-                    'rights': ['documents', 'domains'],
-                }
+                _team('samlag', TOKEN, 'documents', 'domains'),
+                _team('gestir', GUEST_TOKEN, 'documents'),
             ],
             **settings,
             'relay': {'boot_jitter': 100, **settings.get('relay', {})},
@@ -188,7 +191,12 @@
         return node.target
 
     async def apply(
-        self, node: str, document: dict, expected: int, change: str = ''
+        self,
+        node: str,
+        document: dict,
+        expected: int,
+        change: str = '',
+        token: str = TOKEN,
     ) -> tuple[int, dict]:
         """Put a document through a node; return status and answer."""
         address = self.nodes[node].admin
@@ -196,7 +204,7 @@
         async with self.http.put(
             f'http://{address}/v1/documents/{document["team"]}?{query}',
             json=document,
-            headers={'Authorization': f'Bearer {TOKEN}'},
+            headers={'Authorization': f'Bearer {token}'},
         ) as response:
             return response.status, await response.json()
 
--- a/tests/steps/test_cmd_main.py
+++ b/tests/steps/test_cmd_main.py
@@ -74,6 +74,67 @@
     assert lost['current'] == won['number']
 
 
+@behave.when(
+    'a changed document is tried, accepted and taken back to {number:d}'
+)
+def when_taken_back(context: typing.Any, number: int) -> None:
+    routes = [{**r, 'timeout': 777} for r in fleet.DOCUMENT['routes']]
+    path = context.fleet.folder / 'changed.json'
+    path.write_text(json.dumps({**fleet.DOCUMENT, 'routes': routes}))
+    context.outputs = []
+    for command in (
+        f'apply {path} --dry-run',
+        'get --output json',
+        f'apply {path}',
+        f'restore samlag {number}',
+        'get samlag --output json',
+    ):
+        when_command(context, command)
+        assert context.ended.returncode == 0, context.ended
+        context.outputs.append(context.ended.stdout)
+
+
+@behave.then('the trial showed the difference and changed nothing')
+def then_tried(context: typing.Any) -> None:
+    assert '+      "timeout": 777' in context.outputs[0], context.outputs[0]
+    assert json.loads(context.outputs[1])['number'] == 1
+
+
+@behave.then('the content of 1 is accepted as configuration {number:d}')
+def then_taken_back(context: typing.Any, number: int) -> None:
+    found = json.loads(context.outputs[-1])
+    assert found == {'number': number, 'document': fleet.DOCUMENT}, found
+
+
+@behave.when('a team without rights withdraws a failure domain')
+def when_no_right(context: typing.Any) -> None:
+    domains = [{'name': 'hella', 'state': 'withdrawn'}]
+    document = {'team': 'gestir', 'domains': domains}
+    context.answer = context.run(
+        context.fleet.apply('n1', document, 0, token=fleets.GUEST_TOKEN)
+    )
+
+
+@behave.when('one team sends {count:d} changes at once')
+def when_many(context: typing.Any, count: int) -> None:
+    async def send() -> list:
+        return await asyncio.gather(
+            *(
+                context.fleet.apply('n1', fleet.DOCUMENT, 1)
+                for _ in range(count)
+            )
+        )
+
+    context.answers = context.run(send())
+
+
+@behave.then('some are refused with {code} and the rest are settled')
+def then_limited(context: typing.Any, code: str) -> None:
+    codes = [answer.get('code', 'accepted') for _, answer in context.answers]
+    assert codes.count('accepted') == 1, codes
+    assert set(codes) == {'accepted', 'PB301', code}, codes
+
+
 @behave.when('a document is put without a token')
 def when_no_token(context: typing.Any) -> None:
     async def put() -> tuple:
