--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,15 @@
 import importlib
 import sys
 
-NAMES = ('added_latency', 'capacity', 'convergence', 'memory', 'relay')
+NAMES = (
+    'added_latency',
+    'capacity',
+    'convergence',
+    'memory',
+    'overload',
+    'plots',
+    'relay',
+)
 
 
 def main() -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -34,6 +34,7 @@
     node: str
     work_s: float
     cold_s: float
+    is_fragile: bool = False
     heartbeat_s: float = 0.5
     life: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     started_at: float = attrs.field(factory=time.monotonic)
@@ -53,7 +54,7 @@
     async def answer(self, request: web.Request) -> web.StreamResponse:
         """Answer a call, or fail as it asks."""
         call = request.headers.get('x-call', '')
-        if self.running >= self.bears() + 2:
+        if not self.is_fragile and self.running >= self.bears() + 2:
             self.shed += 1
             raise web.HTTPServiceUnavailable(text='shedding load')
         self.running += 1
@@ -74,6 +75,8 @@
         async for part in request.content.iter_chunked(65536):
             size += len(part)
         wait = float(request.headers.get('x-work-s', self.work_s))
+        if self.is_fragile:
+            wait *= max(1.0, self.running / self.bears()) ** 2
         if wait:
             await asyncio.sleep(wait)
         if 'x-answer-bytes' in request.headers:
@@ -180,6 +183,11 @@
     parser.add_argument('--slots', type=int, default=6)
     parser.add_argument('--work-s', type=float, default=0.0)
     parser.add_argument('--cold-s', type=float, default=COLD_S)
+    parser.add_argument(
+        '--fragile',
+        action='store_true',
+        help='shed nothing, and work slower beyond the slots',
+    )
     args = parser.parse_args()
     asyncio.run(
         serve(
@@ -191,6 +199,7 @@
                 args.node,
                 args.work_s,
                 args.cold_s,
+                args.fragile,
             )
         )
     )
