--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -109,7 +109,7 @@
         reads = platform_queries.Queries(session)
         writes = platform_commands.Commands(session)
         accepted = configuration_queries.Queries(reads)
-        client = target_clients.Client.from_config(clock)
+        client = target_clients.Client.from_config(settings.limits, clock)
         ledger = ledgers.Ledger(reads, writes, clock, counters)
         guard = guards.Guard(
             settings.target,
--- a/pomelobend/callers/front.py
+++ b/pomelobend/callers/front.py
@@ -182,13 +182,41 @@
             )
             return
         try:
-            await _send_parts(request, answer, answer.rest)
+            await self._send_parts(request, answer, answer.rest)
         except errors.AnswerBrokenError:
             self.counters.add('answers_broken')
             request.stream.keep_alive = False
             request.transport.abort()
             raise asyncio.CancelledError from None
 
+    async def _send_parts(
+        self,
+        request: requests.Request,
+        answer: calls.Answer,
+        rest: abc.AsyncIterator[bytes],
+    ) -> None:
+        """Send an answer in parts, as fast as its caller takes them.
+
+        Raises
+        ------
+        errors.AnswerBrokenError
+            The answer ended too early, or its caller takes no more of it.
+        """
+        silence_s = self.settings.limits.body_silence.total_seconds()
+        response = responses.HTTPResponse(
+            None, answer.status, compat.Header(answer.headers), None
+        )
+        stream = request.stream
+        stream.respond(response)
+        try:
+            async for part in rest:
+                async with asyncio.timeout(silence_s):
+                    await stream.send(part, False)
+            if stream.response_func is not None:
+                await stream.send(b'', True)
+        except (exceptions.SanicException, TimeoutError) as error:
+            raise errors.AnswerBrokenError(repr(error)) from error
+
     def _count_refusal(self, refusal: errors.CallRefusedError) -> None:
         self.counters.add('calls_refused', f'{refusal.reason}/{refusal.run}')
 
@@ -283,25 +311,6 @@
     await response.send(response.body, end_stream=True)
 
 
-async def _send_parts(
-    request: requests.Request,
-    answer: calls.Answer,
-    rest: abc.AsyncIterator[bytes],
-) -> None:
-    response = responses.HTTPResponse(
-        None, answer.status, compat.Header(answer.headers), None
-    )
-    stream = request.stream
-    stream.respond(response)
-    try:
-        async for part in rest:
-            await stream.send(part, False)
-        if stream.response_func is not None:
-            await stream.send(b'', True)
-    except exceptions.SanicException as error:
-        raise errors.AnswerBrokenError(str(error)) from error
-
-
 def _refusal_response(
     refusal: errors.CallRefusedError,
 ) -> responses.HTTPResponse:
--- a/pomelobend/config.py
+++ b/pomelobend/config.py
@@ -91,6 +91,12 @@
         default=256 * 1024,
         unit='bytes',
     )
+    body_silence: datetime.timedelta = kinds.option(
+        kinds.Duration(10, 600_000),
+        'longest wait for the next part of an answer, or to be rid of one',
+        default=_ms(10_000),
+        unit='ms',
+    )
     calls: int = kinds.option(
         kinds.Whole(1, 100_000),
         'calls that a node serves at one time',
--- a/pomelobend/targets/channel.py
+++ b/pomelobend/targets/channel.py
@@ -93,13 +93,18 @@
             await self._wait()
         return self.head
 
-    async def body(self) -> abc.AsyncIterator[bytes]:
+    async def body(self, silence_s: float) -> abc.AsyncIterator[bytes]:
         """Yield the body of the answer.
 
+        Parameters
+        ----------
+        silence_s : float
+            Seconds without a byte after which the answer is given up.
+
         Raises
         ------
         errors.AnswerBrokenError
-            The connection ended before the last byte.
+            The connection ended before the last byte, or fell silent.
         """
         while True:
             while self.parts:
@@ -111,7 +116,7 @@
             if self.is_paused and self.held < HIGH_BYTES // 2:
                 self.is_paused = False
                 self.transport.resume_reading()
-            await self._wait()
+            await self._wait_for_part(silence_s)
 
     def close(self) -> None:
         """End the connection at once."""
@@ -214,6 +219,16 @@
         if self.news is not None and not self.news.done():
             self.news.set_result(None)
 
+    async def _wait_for_part(self, silence_s: float) -> None:
+        try:
+            async with asyncio.timeout(silence_s):
+                await self._wait()
+        except TimeoutError as error:
+            self._fail(error)
+            raise errors.AnswerBrokenError(
+                f'no byte for {silence_s} s'
+            ) from error
+
     async def _wait(self) -> None:
         if self.error is not None:
             raise errors.AnswerBrokenError(repr(self.error)) from self.error
--- a/pomelobend/targets/client.py
+++ b/pomelobend/targets/client.py
@@ -16,6 +16,7 @@
     from collections import abc
 
     from pomelobend import clock as clocks
+    from pomelobend import config
 
 WHOLE_BYTES = 64 * 1024
 """Largest answer that is read as a whole before it is passed on."""
@@ -29,11 +30,15 @@
 
     clock: clocks.Clock
     channels: channels.Channels
+    silence_s: float
 
     @classmethod
-    def from_config(cls, clock: clocks.Clock) -> Client:
+    def from_config(
+        cls, settings: config.Limits, clock: clocks.Clock
+    ) -> Client:
         """Build a client that knows no target yet."""
-        return cls(clock, channels.Channels(clock))
+        silence_s = settings.body_silence.total_seconds()
+        return cls(clock, channels.Channels(clock), silence_s)
 
     def use(self, address: str) -> None:
         """Call the target at an address from now on."""
@@ -107,7 +112,7 @@
             return calls.Answer(
                 head.status, headers, b'', self._parts(channel)
             )
-        body = b''.join([part async for part in channel.body()])
+        body = b''.join([part async for part in channel.body(self.silence_s)])
         self.channels.give_back(channel)
         return calls.Answer(head.status, headers, body)
 
@@ -116,7 +121,7 @@
     ) -> abc.AsyncIterator[bytes]:
         """Yield the body of an answer as it arrives."""
         try:
-            async for part in channel.body():
+            async for part in channel.body(self.silence_s):
                 yield part
         finally:
             self.channels.give_back(channel)
