Build the parts of a node in groups

The application object built all parts in one method of 110 lines. Base, platform access, way of a call and distribution are now built by class methods of their own; app.py starts, stops and reports.

--- a/pomelobend/admin/api.py
+++ b/pomelobend/admin/api.py
@@ -114,7 +114,7 @@
         source = sources.Source.from_text(
             request.body.decode('utf-8', 'replace'), 'announcement'
         )
-        self.node.local.hear(
+        self.node.path.local.hear(
             reader.read_source(local_targets.Announcement, source)
         )
         interval_s = self.node.settings.target.heartbeat.total_seconds() / 3
@@ -122,7 +122,7 @@
 
     async def list_documents(self, request: requests.Request) -> typing.Any:
         """Answer which document of each team is in force here."""
-        manifest = self.node.store.snapshot.manifest
+        manifest = self.node.base.store.snapshot.manifest
         return responses.json(
             {
                 'number': manifest.number,
@@ -137,7 +137,7 @@
         self, request: requests.Request, team: str
     ) -> typing.Any:
         """Answer the accepted document of a team, as the platform has it."""
-        number, document = await self.node.configuration_queries.document(team)
+        number, document = await self.node.platform.accepted.document(team)
         if document is None:
             raise errors.PlatformNotFoundError(f'{team} has no document')
         return responses.json({'number': number, 'document': document})
@@ -159,7 +159,7 @@
         """Accept the content of an earlier configuration as a new one."""
         owner = self._owner(request)
         number = request.args.get('number', '')
-        document = await self.node.configuration_queries.document_at(
+        document = await self.node.platform.accepted.document_at(
             team, int(number) if number.isdigit() else -1
         )
         change = _change(request, team, owner, document)
@@ -167,7 +167,7 @@
 
     async def history(self, request: requests.Request) -> typing.Any:
         """Answer the accepted changes, the newest first."""
-        manifest, _ = await self.node.configuration_queries.manifest()
+        manifest, _ = await self.node.platform.accepted.manifest()
         return responses.json(
             {'changes': [attrs.asdict(c) for c in manifest.history[::-1]]}
         )
@@ -188,12 +188,12 @@
         document = validate.parse(
             sources.Source.from_value(change.document, f'{change.team}.json')
         )
-        _, before = await self.node.configuration_queries.document(change.team)
+        _, before = await self.node.platform.accepted.document(change.team)
         token_module.require_document_right(
             owner, document, _domains(change.team, before)
         )
         if request.args.get('dry-run') == 'true':
-            built = await self.node.configuration_commands.check(change)
+            built = await self.node.platform.changes.check(change)
             return responses.json(
                 {
                     'number': built.number,
@@ -201,13 +201,13 @@
                     'difference': difference.lines(before, change.document),
                 }
             )
-        accepted = await self.node.configuration_commands.accept(change)
+        accepted = await self.node.platform.changes.accept(change)
         return responses.json({**attrs.asdict(accepted), 'accepted': True})
 
     async def _answer_error(
         self, request: requests.Request, error: errors.PomelobendError
     ) -> typing.Any:
-        self.node.counters.add('admin_refused', error.code)
+        self.node.base.counters.add('admin_refused', error.code)
         body: dict[str, typing.Any] = {
             'code': error.code,
             'message': str(error),
--- a/pomelobend/app.py
+++ b/pomelobend/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import signal
-import time
 import typing
 
 import attrs
@@ -14,38 +13,11 @@
 from pomelobend.admin import api as admin_api
 from pomelobend.admin import limits as admin_limits
 from pomelobend.admin import tokens
-from pomelobend.admission import guard as guards
-from pomelobend.admission import limiter as limiters
-from pomelobend.callers import front as fronts
-from pomelobend.claims import ledger as ledgers
-from pomelobend.claims import runner as runners
 from pomelobend import clock as clocks
-from pomelobend.configuration import commands as configuration_commands
-from pomelobend.configuration import queries as configuration_queries
-from pomelobend.configuration import store as stores
-from pomelobend.distribution import duty as duties
-from pomelobend.distribution import feed as feeds
-from pomelobend.distribution import hub as hubs
-from pomelobend.distribution import lease as leases
-from pomelobend.distribution import relays
-from pomelobend.distribution import watcher as watchers
 from pomelobend import errors
-from pomelobend.membership import announcer as announcers
-from pomelobend.membership import member as members
-from pomelobend.membership import table as tables
-from pomelobend.metrics import counters as counter_module
 from pomelobend.metrics import exposition as expositions
-from pomelobend.peers import callee as callees
-from pomelobend.peers import caller as peer_callers
 from pomelobend.peers import messages
-from pomelobend.peers import pool as pools
-from pomelobend.platform import commands as platform_commands
-from pomelobend.platform import queries as platform_queries
-from pomelobend.platform import session as platform_sessions
-from pomelobend.routing import choice
-from pomelobend.routing import dispatcher as dispatchers
-from pomelobend.targets import client as target_clients
-from pomelobend.targets import local as local_targets
+from pomelobend import wiring
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -67,24 +39,11 @@
 class Node:
     """One node with all its parts."""
 
-    settings: config.Settings
-    clock: clocks.Clock
-    counters: counter_module.Counters
+    base: wiring.Base
+    platform: wiring.Platform
+    path: wiring.CallPath
+    distribution: wiring.Distribution
     exposition: expositions.Exposition
-    store: stores.Store
-    table: tables.Table
-    announcer: announcers.Announcer
-    session: platform_sessions.Session
-    configuration_queries: configuration_queries.Queries
-    configuration_commands: configuration_commands.Commands
-    guard: guards.Guard
-    local: local_targets.LocalTarget
-    pool: pools.Pool
-    hub: hubs.Hub
-    feed: feeds.Feed
-    duty: duties.Duty
-    callee: callees.Callee
-    front: fronts.Front
     api: admin_api.Api = attrs.field(init=False)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -93,102 +52,28 @@
         cls, settings: config.Settings, clock: clocks.Clock | None = None
     ) -> Node:
         """Build a node; call it inside the event loop."""
-        clock = clock or clocks.SystemClock()
-        counters = counter_module.Counters()
-        incarnation = time.time_ns()
-        record = members.Member(
-            settings.node,
-            incarnation,
-            0,
-            settings.domain,
-            settings.listen.reached_at,
-        )
-        announcer = announcers.Announcer(record)
-        store, table = stores.Store(), tables.Table()
-        session = platform_sessions.Session.from_config(settings.platform)
-        reads = platform_queries.Queries(session)
-        writes = platform_commands.Commands(session)
-        accepted = configuration_queries.Queries(reads)
-        client = target_clients.Client.from_config(settings.limits, clock)
-        ledger = ledgers.Ledger(reads, writes, clock, counters)
-        guard = guards.Guard(
-            settings.target,
-            clock,
-            limiters.Limiter(
-                clock, settings.target.slow_start.total_seconds()
-            ),
-            client,
-            runners.Runner(client, ledger),
-            counters,
-        )
-        hello = messages.Hello(
-            messages.PROTOCOL,
-            settings.node,
-            incarnation,
-            settings.domain,
-            settings.listen.reached_at,
-        )
-        pool = pools.Pool(settings, clock, hello, counters)
-        directory = relays.Directory()
-        hub = hubs.Hub(store, table, directory, clock, counters)
-        feed = feeds.Feed(
-            settings,
-            clock,
-            store,
-            table,
-            directory,
-            pool,
-            counters,
-            announcer,
-        )
-        duty = duties.Duty(
-            settings,
-            clock,
-            leases.Keeper(settings, incarnation, clock, reads, writes),
-            directory,
-            hub,
-            feed,
-            watchers.Watcher(store, reads, accepted, clock),
-            reads,
-            counters,
-        )
-        dispatcher = dispatchers.Dispatcher(
-            settings.node,
-            store,
-            choice.Chooser(settings.node, settings.domain, table, clock),
-            guard,
-            peer_callers.Caller(pool, clock),
-            clock,
-            counters,
-        )
+        base = wiring.Base.from_config(settings, clock or clocks.SystemClock())
+        platform = wiring.Platform.from_base(base)
         node = cls(
-            settings,
-            clock,
-            counters,
-            expositions.Exposition(counters),
-            store,
-            table,
-            announcer,
-            session,
-            accepted,
-            configuration_commands.Commands(writes, accepted, clock),
-            guard,
-            local_targets.LocalTarget(
-                settings.target, clock, guard, announcer
-            ),
-            pool,
-            hub,
-            feed,
-            duty,
-            callees.Callee(store, guard, clock),
-            fronts.Front(settings, clock, store, dispatcher, counters),
+            base,
+            platform,
+            wiring.CallPath.from_base(base, platform),
+            wiring.Distribution.from_base(base, platform),
+            expositions.Exposition(base.counters),
         )
         node.api = admin_api.Api(
-            node, tokens.Tokens(settings.teams), admin_limits.Rates(clock)
+            node,
+            tokens.Tokens(settings.teams),
+            admin_limits.Rates(base.clock),
         )
-        node._connect(dispatcher)
+        node._connect()
         return node
 
+    @property
+    def settings(self) -> config.Settings:
+        """Return the settings of this node."""
+        return self.base.settings
+
     async def run(self) -> None:
         """Serve until asked to stop, then stop gracefully."""
         stop = asyncio.Event()
@@ -201,10 +86,14 @@
 
     async def start(self) -> None:
         """Listen and begin all lasting tasks."""
-        await self.pool.listen()
+        await self.base.pool.listen()
         await self.api.listen()
-        await self.front.listen()
-        for work in (self.feed.run, self.duty.run, self.local.watch):
+        await self.path.front.listen()
+        for work in (
+            self.distribution.feed.run,
+            self.distribution.duty.run,
+            self.path.local.watch,
+        ):
             self._run(work)
         gc.collect()
         gc.freeze()
@@ -217,56 +106,58 @@
     async def stop(self) -> None:
         """Take no new work, finish what is in flight, and end."""
         logger.info('node: stopping', in_flight=self.in_flight)
-        self.local.drain()
-        self.pool.say_goodbye()
-        await self.clock.sleep(LEAVE_S)
-        self.front.stop_listening()
+        self.path.local.drain()
+        self.base.pool.say_goodbye()
+        await self.base.clock.sleep(LEAVE_S)
+        self.path.front.stop_listening()
         await self._wait_until_idle()
-        self.front.close()
+        self.path.front.close()
         self.api.close()
         for task in list(self.tasks):
             task.cancel()
-        self.duty.lay_down()
-        await self.pool.close()
-        await self.guard.runner.ledger.close()
-        self.guard.client.close()
-        await self.session.close()
+        self.distribution.duty.lay_down()
+        await self.base.pool.close()
+        await self.path.guard.runner.ledger.close()
+        self.path.guard.client.close()
+        await self.platform.session.close()
         logger.info('node: stopped', in_flight=self.in_flight)
 
     @property
     def in_flight(self) -> int:
         """Return the calls that this node takes part in."""
-        serving = sum(len(c.serving) for c in self.pool.all())
-        return self.front.in_flight + serving
+        serving = sum(len(c.serving) for c in self.base.pool.all())
+        return self.path.front.in_flight + serving
 
     def not_ready(self) -> list[str]:
         """Return what keeps the node from taking calls."""
         reasons = {
-            'configuration': self.store.snapshot.number == 0,
-            'stopping': self.local.is_stopping,
+            'configuration': self.base.store.snapshot.number == 0,
+            'stopping': self.path.local.is_stopping,
         }
         return [name for name, holds in reasons.items() if holds]
 
     def status(self) -> dict[str, typing.Any]:
         """Return what this node knows of itself and of others."""
-        number = self.store.snapshot.number
-        attached = self.hub.applied()
+        number = self.base.store.snapshot.number
+        attached = self.distribution.hub.applied()
         return {
             'node': self.settings.node,
             'domain': self.settings.domain,
             'number': number,
             'ready': not self.not_ready(),
-            'is_relay': self.feed.is_relay,
-            'fed_by': [source.node for source in self.feed.sources],
-            'relays': self.hub.directory.addresses,
+            'is_relay': self.distribution.feed.is_relay,
+            'fed_by': [
+                source.node for source in self.distribution.feed.sources
+            ],
+            'relays': self.distribution.hub.directory.addresses,
             'in_flight': self.in_flight,
-            'withdrawn': sorted(self.store.snapshot.withdrawn),
+            'withdrawn': sorted(self.base.store.snapshot.withdrawn),
             'attached': attached,
             'lagging': sorted(n for n, a in attached.items() if a < number),
-            'limit': self.guard.limiter.current,
+            'limit': self.path.guard.limiter.current,
             'members': [
                 attrs.asdict(item)
-                for _, item in sorted(self.table.members.items())
+                for _, item in sorted(self.base.table.members.items())
             ],
         }
 
@@ -277,7 +168,7 @@
         stream: streams.Stream,
     ) -> None:
         """Answer a call of another node."""
-        await self.callee.serve(connection, start, stream)
+        await self.path.callee.serve(connection, start, stream)
 
     def control(
         self, connection: connections.Connection, message: messages.Message
@@ -289,44 +180,49 @@
         errors.ProtocolError
             No part takes such a message.
         """
-        if self.feed.take(connection, message):
+        if self.distribution.feed.take(connection, message):
             return
-        if self.hub.take(connection, message):
+        if self.distribution.hub.take(connection, message):
             return
         if type(message) is messages.Invite:
-            self.duty.invite(message.slot)
+            self.distribution.duty.invite(message.slot)
             return
         raise errors.ProtocolError(f'{type(message).__name__} not expected')
 
-    def _connect(self, dispatcher: dispatchers.Dispatcher) -> None:
+    def _connect(self) -> None:
         """Let parts hear of each other's changes."""
-        self.pool.handler = self
-        self.pool.on_close += [self.hub.lost, self.feed.lost]
-        self.hub.start()
-        self.store.listeners.append(self.feed.report)
-        self.announcer.listeners += [self.hub.attach_own]
-        self.announcer.on_change.append(lambda _: self.feed.announce())
-        self.table.listeners.append(dispatcher.chooser.forget)
+        self.base.pool.handler = self
+        self.base.pool.on_close += [
+            self.distribution.hub.lost,
+            self.distribution.feed.lost,
+        ]
+        self.distribution.hub.start()
+        self.base.store.listeners.append(self.distribution.feed.report)
+        self.base.announcer.listeners += [self.distribution.hub.attach_own]
+        self.base.announcer.on_change.append(
+            lambda _: self.distribution.feed.announce()
+        )
+        self.base.table.listeners.append(self.path.dispatcher.chooser.forget)
         self.exposition.gauges.update(
-            configuration_number=lambda: self.store.snapshot.number,
-            configurations_refused=lambda: self.store.refused,
-            configurations_stale=lambda: self.store.stale,
+            configuration_number=lambda: self.base.store.snapshot.number,
+            configurations_refused=lambda: self.base.store.refused,
+            configurations_stale=lambda: self.base.store.stale,
             calls_in_flight=lambda: self.in_flight,
-            target_limit=lambda: self.guard.limiter.current,
-            target_running=lambda: self.guard.running,
-            members=lambda: len(self.table.members),
-            connections=lambda: len(self.pool.all()),
-            peer_bytes_sent=lambda: self.pool.traffic.sent,
-            peer_bytes_received=lambda: self.pool.traffic.received,
-            is_relay=lambda: int(self.feed.is_relay),
+            target_limit=lambda: self.path.guard.limiter.current,
+            target_running=lambda: self.path.guard.running,
+            members=lambda: len(self.base.table.members),
+            connections=lambda: len(self.base.pool.all()),
+            peer_bytes_sent=lambda: self.base.pool.traffic.sent,
+            peer_bytes_received=lambda: self.base.pool.traffic.received,
+            is_relay=lambda: int(self.distribution.feed.is_relay),
         )
-        self.hub.attach_own(self.announcer.record)
+        self.distribution.hub.attach_own(self.base.announcer.record)
 
     async def _wait_until_idle(self) -> None:
         longest = self.settings.stop_timeout.total_seconds()
-        end = self.clock.monotonic() + longest
-        while self.in_flight and self.clock.monotonic() < end:
-            await self.clock.sleep(0.02)
+        end = self.base.clock.monotonic() + longest
+        while self.in_flight and self.base.clock.monotonic() < end:
+            await self.base.clock.sleep(0.02)
 
     def _run(self, work: abc.Callable[[], abc.Coroutine]) -> None:
         task = asyncio.create_task(self._supervise(work))
@@ -340,4 +236,4 @@
                 await work()
             except Exception:
                 logger.exception('node: task failed')
-            await self.clock.sleep(RESTART_S)
+            await self.base.clock.sleep(RESTART_S)
