--- a/tests/steps/test_findings_reader.py
+++ b/tests/steps/test_findings_reader.py
@@ -10,7 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from pomelobend.cmd import main
+from pomelobend.cmd import check
 from pomelobend import config
 from pomelobend import errors
 from pomelobend.findings import reader
@@ -110,17 +110,17 @@
 def then_any(context: typing.Any) -> None:
     @fixed
     @hypothesis.given(_json.map(json.dumps) | strategies.text())
-    def check(text: str) -> None:
+    def read_any(text: str) -> None:
         read(text)
 
-    check()
+    read_any()
 
 
 @behave.then('a document with comments anywhere reads like one without')
 def then_comments(context: typing.Any) -> None:
     @fixed
     @hypothesis.given(_json, strategies.text(alphabet='ab/ "\\{,', max_size=9))
-    def check(value: object, comment: str) -> None:
+    def read_alike(value: object, comment: str) -> None:
         lines = json.dumps(value, indent=1).splitlines()
         text = (
             '\n'.join(f'{line} // {comment}' for line in lines)
@@ -128,7 +128,7 @@
         )
         assert sources.Source.from_text(text, 'x').value == value
 
-    check()
+    read_alike()
 
 
 @behave.then('every sample under examples has no findings')
@@ -136,4 +136,4 @@
     paths = sorted((ROOT / 'examples').glob('*.jsonc'))
     assert len(paths) >= 4
     for path in paths:
-        assert main.check(path) == 0, path
+        assert check.check(path) == 0, path
