Send no empty header, and let a lost relay not disturb a swap

Found while reading: the HTTP library added an empty Alt-Svc to every answer; and reporting a new configuration to a relay whose socket had just failed raised out of the swap, so that the remaining listeners were not told.

--- a/pomelobend/callers/front.py
+++ b/pomelobend/callers/front.py
@@ -69,6 +69,16 @@
         self.request_handler = self.app.ctx.front.serve
 
 
+class Response(responses.HTTPResponse):
+    """An answer without the empty header that the library adds."""
+
+    @property
+    def processed_headers(self) -> typing.Any:
+        """Return the headers as they are sent."""
+        self.headers.pop('alt-svc', None)
+        return super().processed_headers
+
+
 @attrs.define(eq=False)
 class Front:
     """Takes calls, dispatches them, and gives back their answers."""
@@ -173,7 +183,7 @@
         if answer.rest is None:
             await _send_whole(
                 request,
-                responses.HTTPResponse(
+                Response(
                     answer.body,
                     answer.status,
                     compat.Header(answer.headers),
@@ -203,7 +213,7 @@
             The answer ended too early, or its caller takes no more of it.
         """
         silence_s = self.settings.limits.body_silence.total_seconds()
-        response = responses.HTTPResponse(
+        response = Response(
             None, answer.status, compat.Header(answer.headers), None
         )
         stream = request.stream
@@ -322,7 +332,7 @@
             'detail': refusal.detail,
         }
     )
-    return responses.HTTPResponse(
+    return Response(
         body,
         STATUS.get(refusal.reason, 503),
         {
--- a/pomelobend/distribution/feed.py
+++ b/pomelobend/distribution/feed.py
@@ -109,15 +109,13 @@
     def report(self, snapshot: snapshots.Snapshot) -> None:
         """Tell the relays that feed this node what is in force here."""
         for source in list(self.sources):
-            if not source.is_closed:
-                source.send(messages.Applied(snapshot.number))
+            source.tell(messages.Applied(snapshot.number))
 
     def announce(self) -> None:
         """Send the own record to all relays that feed this node."""
         record = codec.member_to_wire(self.announcer.record)
         for source in list(self.sources):
-            if not source.is_closed:
-                source.send(messages.Announce(record))
+            source.tell(messages.Announce(record))
 
     def lost(self, connection: connections.Connection) -> None:
         """Note that the connection to a relay has ended."""
@@ -196,8 +194,7 @@
         for source in list(self.sources):
             if source.hello.address != address:
                 del self.sources[source]
-                if not source.is_closed:
-                    source.send(messages.Unsubscribe())
+                source.tell(messages.Unsubscribe())
 
     def _take_offer(
         self, connection: connections.Connection, offer: messages.Offer
--- a/pomelobend/peers/connection.py
+++ b/pomelobend/peers/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import typing
 
 import attrs
@@ -115,6 +116,12 @@
             raise errors.LinkClosedError(f'connection to {self.node} ended')
         self.link.send(codec.encode(message))
 
+    def tell(self, message: messages.Message) -> None:
+        """Send a message that matters only while the connection stands."""
+        if not self.is_closed:
+            with contextlib.suppress(errors.LinkClosedError):
+                self.send(message)
+
     async def run(self) -> None:
         """Serve the connection until it ends, then fail what is left."""
         self.heard_at = self.clock.monotonic()
@@ -148,7 +155,7 @@
         interval = self.settings.peers.heartbeat.total_seconds()
         silence = self.settings.peers.silence.total_seconds()
         while not self.is_closed:
-            self.send(messages.Heartbeat(0))
+            self.tell(messages.Heartbeat(0))
             await self.clock.sleep(interval)
             quiet = self.clock.monotonic() - self.heard_at
             if quiet > silence:
--- a/pomelobend/peers/pool.py
+++ b/pomelobend/peers/pool.py
@@ -82,8 +82,7 @@
     def say_goodbye(self) -> None:
         """Ask all other nodes to begin no new call here."""
         for connection in self.all():
-            if not connection.is_closed:
-                connection.send(messages.Goodbye())
+            connection.tell(messages.Goodbye())
 
     async def close(self) -> None:
         """Stop listening and end all connections."""
--- a/tests/callers/test_callers_path.feature
+++ b/tests/callers/test_callers_path.feature
@@ -5,6 +5,7 @@
     When GET /tonabok/bells?size=3 is sent to n1
     Then the status is 200
     And the answer names the path /tonabok/bells?size=3
+    And no header of the answer is empty
 
   Scenario: a path without a route is refused as not run
     Given a small deployment
--- a/tests/steps/test_callers_path.py
+++ b/tests/steps/test_callers_path.py
@@ -39,6 +39,11 @@
     assert json.loads(context.body)['path'] == path, context.body
 
 
+@behave.then('no header of the answer is empty')
+def then_no_empty_header(context: typing.Any) -> None:
+    assert all(context.headers.values()), context.headers
+
+
 @behave.then('the call is refused with {reason} and {run}')
 def then_refused(context: typing.Any, reason: str, run: str) -> None:
     found = (
