--- a/tests/steps/test_callers_malformed.py
+++ b/tests/steps/test_callers_malformed.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import typing
 
 import behave
+import hypothesis
+from hypothesis import strategies
 
 from pomelobend import config
 from pomelobend import errors
@@ -15,7 +16,8 @@
 from pomelobend.peers import messages
 from tests.steps import fleet
 
-FUZZ_SEED = 20261204
+FUZZ_WAIT_S = 0.05
+"""Time for which an answer to a piece of fuzz is waited for."""
 
 HEAD = b'POST /tonabok/archive HTTP/1.1\r\nHost: a\r\n'
 
@@ -75,26 +77,33 @@
     assert sum(counts.values()) >= 1, (reason, counts)
 
 
+_pieces = strategies.sampled_from([data[:2000] for data in RAW.values()])
+_changes = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 1999),
+        strategies.integers(0, 3),
+        strategies.binary(max_size=4),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
 @behave.when('callers send {count:d} pieces of fuzz to {node}')
 def when_fuzz(context: typing.Any, count: int, node: str) -> None:
-    source = random.Random(FUZZ_SEED)
     address = context.fleet.nodes[node].callers
-    pieces = list(RAW.values())
-
-    def mutate() -> bytes:
-        data = bytearray(source.choice(pieces)[:2000])
-        for _ in range(source.randint(1, 8)):
-            place = source.randrange(len(data))
-            data[place : place + source.randint(0, 3)] = source.randbytes(
-                source.randint(0, 4)
-            )
-        return bytes(data)
-
-    async def send() -> None:
-        for _ in range(count):
-            await send_raw(address, mutate(), 0.05)
-
-    context.run(send())
+
+    @hypothesis.settings(
+        max_examples=count, derandomize=True, database=None, deadline=None
+    )
+    @hypothesis.given(_pieces, _changes)
+    def send(piece: bytes, changes: list[tuple[int, int, bytes]]) -> None:
+        data = bytearray(piece)
+        for place, removed, added in changes:
+            data[place : place + removed] = added
+        context.run(send_raw(address, bytes(data), FUZZ_WAIT_S))
+
+    send()
 
 
 HELLO = messages.Hello(messages.PROTOCOL, 'stranger', 1, 'hella', '')
