Wait for the bound on silence before calls must be answered

A run beside other load had this scenario fail once: the change came to the far nodes by a new connection before the old one between caller and target had been silent for its bound of 1 s, so a call went into it and ended as unknown, which is true and allowed.

--- a/tests/distribution/test_distribution_cut.feature
+++ b/tests/distribution/test_distribution_cut.feature
@@ -16,7 +16,8 @@
     When every connection of far falls silent for good
     And a configuration is accepted in near
     Then it is in force on every node that runs within 13 s
-    And calls from near to the service of far are answered
+    When 3.0 s pass
+    Then calls from near to the service of far are answered
 
   Scenario: a call in flight on a connection that falls silent is not lost in doubt
     Given two failure domains on wires
