--- a/tests/steps/test_configuration_store.py
+++ b/tests/steps/test_configuration_store.py
@@ -183,7 +183,7 @@
             platform,
             queries.Queries(platform),
             FakeClock(),
-            random.Random(seed),
+            random=random.Random(seed),
         )
         request = commands.Request(
             name, team, document(team, int(name[1:])), 0, name
