--- a/pomelobend/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The platform's object API: commands and queries apart."""
--- a/pomelobend/wiring.py
+++ b/pomelobend/wiring.py
@@ -29,9 +29,9 @@
 from pomelobend.peers import caller as peer_callers
 from pomelobend.peers import messages
 from pomelobend.peers import pool as pools
-from pomelobend.platform import commands as platform_commands
-from pomelobend.platform import queries as platform_queries
-from pomelobend.platform import session as platform_sessions
+from pomelobend.storage import commands as platform_commands
+from pomelobend.storage import queries as platform_queries
+from pomelobend.storage import session as platform_sessions
 from pomelobend.routing import choice
 from pomelobend.routing import dispatcher as dispatchers
 from pomelobend.targets import client as target_clients
@@ -131,7 +131,9 @@
             local_targets.LocalTarget(
                 settings.target, clock, guard, base.announcer
             ),
-            callees.Callee(base.store, guard, clock),
+            callees.Callee(
+                guard, callees.RouteLookup(base.store, guard, clock).build
+            ),
             dispatcher,
             fronts.Front(
                 settings, clock, base.store, dispatcher, base.counters
