--- a/tests/run.py
+++ b/tests/run.py
@@ -2,7 +2,7 @@
 
 Each linter and each scenario counts as one test.
 
-Usage: python -m tests.run [behave argument ...]
+Usage: python -m tests.run [option of behave ...] [folder or feature ...]
 
 With arguments only the features they name are run, and no linter.
 """
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+from concurrent import futures
 import json
 import pathlib
 import subprocess
@@ -19,6 +20,11 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
+AT_ONCE = 3
+"""Features that run at one time; each may start a few dozen processes."""
+
+SLOW = ('distribution', 'routing', 'mesh', 'callers', 'targets', 'claims')
+"""Folders of features that start processes."""
 
 LINTERS = (
     ('ruff', 'format', '--check', '.'),
@@ -64,18 +70,63 @@
     ]
 
 
-def main() -> int:
-    """Run behave and return the exit code."""
+def run_feature(path: str, options: list[str]) -> tuple[list, int]:
+    """Run behave on one feature file; return its scenarios and exit code."""
     with tempfile.TemporaryDirectory() as folder:
-        path = pathlib.Path(folder) / 'report.json'
+        report = pathlib.Path(folder) / 'report.json'
         command = [
             sys.executable, '-m', 'behave', '--no-source', '--no-timings',
-            '-f', 'json', '-o', str(path), '-f', 'progress',
-            *(sys.argv[1:] or ['tests']),
+            '-f', 'json', '-o', str(report), '-f', 'progress', *options, path,
         ]  # fmt: skip
-        ended = subprocess.run(command, cwd=ROOT, check=False)
-        text = path.read_text() if path.exists() else ''
-        found = scenarios(json.loads(text or '[]'))
+        ended = subprocess.run(
+            command, cwd=ROOT, check=False, capture_output=True, text=True
+        )
+        text = report.read_text() if report.exists() else ''
+    print(ended.stdout, end='', flush=True)
+    if ended.returncode:
+        print(ended.stderr, end='', flush=True)
+    return scenarios(json.loads(text or '[]')), ended.returncode
+
+
+def features(arguments: list[str]) -> list[str]:
+    """Return the feature files in folders, or the files themselves.
+
+    Those that start processes take long; the longest is begun first.
+    """
+    found = {
+        path
+        for argument in arguments or ['tests']
+        for path in (
+            sorted((ROOT / argument).rglob('*.feature'))
+            if (ROOT / argument).is_dir()
+            else [ROOT / argument]
+        )
+    }
+    return [
+        str(path.relative_to(ROOT))
+        for path in sorted(found, key=_weight, reverse=True)
+    ]
+
+
+def _weight(path: pathlib.Path) -> int:
+    """Return a rough measure of how long a feature takes: its examples."""
+    lines = path.read_text().splitlines()
+    count = sum(line.strip().startswith(('|', 'Scenario')) for line in lines)
+    return count * (10 if path.parent.name in SLOW else 1)
+
+
+def main() -> int:
+    """Run all features, some at a time, and return the exit code."""
+    options = [arg for arg in sys.argv[1:] if arg.startswith('-')]
+    paths = [arg for arg in sys.argv[1:] if not arg.startswith('-')]
+    found: list[tuple[str, str]] = []
+    codes = []
+    with futures.ThreadPoolExecutor(AT_ONCE) as pool:
+        for ended, code in pool.map(
+            lambda path: run_feature(path, options), features(paths)
+        ):
+            found += ended
+            codes.append(code)
     if not found:
         found = [('no scenario was run', 'failed')]
     if not sys.argv[1:]:
@@ -91,7 +142,7 @@
         f'{counts["passed"]} passed, {len(failed)} failed, '
         f'{counts["skipped"]} skipped'
     )
-    is_broken = ended.returncode and not failed
+    is_broken = any(codes) and not failed
     return 1 if failed - known or is_broken else 0
 
 
