--- a/tests/steps/test_peers_codec.py
+++ b/tests/steps/test_peers_codec.py
@@ -28,6 +28,9 @@
     messages.is_map: strategies.dictionaries(_text, _plain, max_size=3),
     messages.is_list: strategies.lists(_plain, max_size=3),
     messages.is_texts: strategies.lists(_text, max_size=3),
+    messages.is_byte_strings: strategies.lists(
+        strategies.binary(max_size=9), max_size=3
+    ),
     messages.is_headers: strategies.lists(
         strategies.lists(_text, min_size=2, max_size=2), max_size=3
     ),
