--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import collections
 import json
@@ -15,6 +14,8 @@
 from aiohttp import web
 import attrs
 
+from standins import serving
+
 MAX_VALUE_BYTES = 1024 * 1024
 
 
@@ -176,17 +177,7 @@
 
 def main() -> None:
     """Serve until ended."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--port', type=int, required=True)
-    args = parser.parse_args()
-    web.run_app(
-        build(),
-        host='127.0.0.1',
-        port=args.port,
-        print=None,
-        access_log=None,
-        shutdown_timeout=0.1,
-    )
+    serving.serve_by_arguments(__doc__, build)
 
 
 if __name__ == '__main__':
