Accept no call late in the grace period that would be cut at its end

Three ways, each red on the code before: the rest of a request that was begun before, a request behind another on its connection, and a call from another node (peer-lost, unknown). A call in flight that outlasts the grace period was cut as well.

The node now knows its grace period where calls enter: 2.5 s after SIGTERM it accepts a call only if its deadline is within the period, and refuses others as 'stopping', not run.

--- /dev/null
+++ b/pomelobend/mesh/grace.py
@@ -0,0 +1,87 @@
+"""Calls of a node that stops: which it accepts, and when they must end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import typing
+
+import attrs
+
+from pomelobend import errors
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from pomelobend import clock as clocks
+
+ACCEPT_S = 2.5
+"""Time after SIGTERM during which all calls are accepted, until callers and
+other nodes know that this node stops."""
+
+CLOSE_RESERVE_S = 0.6
+"""Part of the grace period reserved for closing connections."""
+
+REPLY_RESERVE_S = 0.1
+"""Time between the last reply to a caller and the closing of connections."""
+
+
+@attrs.define(eq=False)
+class Grace:
+    """The grace period between SIGTERM and the end of the process.
+
+    After the first seconds a call is accepted only if its deadline is within
+    the grace period: it would be cut with its outcome unknown otherwise.
+
+    Parameters
+    ----------
+    accepts_until, replies_until, closes_at : float
+        Monotonic times at which calls are no longer accepted regardless of
+        their deadlines, at which callers that still wait get their replies,
+        and at which connections are closed; infinite before SIGTERM.
+    """
+
+    clock: clocks.Clock
+    accepts_until: float = math.inf
+    replies_until: float = math.inf
+    closes_at: float = math.inf
+    timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
+
+    def begin(self, grace_s: float) -> None:
+        """Start the grace period and shorten the timeouts that exceed it."""
+        now = self.clock.monotonic()
+        self.accepts_until = now + ACCEPT_S
+        self.closes_at = now + grace_s - CLOSE_RESERVE_S
+        self.replies_until = self.closes_at - REPLY_RESERVE_S
+        end = asyncio.get_running_loop().time() + self.replies_until - now
+        for timeout in self.timeouts:
+            timeout.reschedule(min(timeout.when(), end))
+
+    def check(self, deadline: float) -> None:
+        """Refuse a new call that would outlast the grace period.
+
+        Raises
+        ------
+        errors.CallRefusedError
+        """
+        is_late = self.clock.monotonic() >= self.accepts_until
+        if is_late and deadline > self.replies_until:
+            raise errors.CallRefusedError(errors.Reason.STOPPING)
+
+    @contextlib.asynccontextmanager
+    async def timeout(self, deadline: float) -> abc.AsyncIterator[None]:
+        """Limit a block to a deadline, and to the grace period if it begins.
+
+        Raises
+        ------
+        TimeoutError
+        """
+        now = self.clock.monotonic()
+        limit_s = min(deadline, self.replies_until) - now
+        async with asyncio.timeout(limit_s) as timeout:
+            self.timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self.timeouts.discard(timeout)
--- /dev/null
+++ b/tests/mesh/test_mesh_grace.feature
@@ -0,0 +1,26 @@
+Feature: calls during the grace period
+
+  Scenario Outline: a call that comes <came_s> s after SIGTERM and ends within <left_s> s is <outcome>
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call comes after <came_s> s that ends within <left_s> s
+    Then it is <outcome> as far as the grace period goes
+
+    Examples:
+      | came_s | left_s | outcome  |
+      | 0.0    | 9.0    | accepted |
+      | 2.4    | 9.0    | accepted |
+      | 2.6    | 2.6    | accepted |
+      | 2.6    | 2.8    | refused  |
+      | 5.0    | 0.5    | refused  |
+
+  Scenario Outline: a caller that waits until <deadline_s> s after SIGTERM is replied to by <reply_s> s
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call that came <when> waits until <deadline_s> s after it
+    Then its caller is replied to <reply_s> s after SIGTERM
+
+    Examples:
+      | when          | deadline_s | reply_s |
+      | before it     | 9.0        | 5.3     |
+      | after it      | 9.0        | 5.3     |
+      | before it     | 3.0        | 3.0     |
+      | after it      | 3.0        | 3.0     |
--- /dev/null
+++ b/tests/mesh/test_mesh_stop.feature
@@ -0,0 +1,27 @@
+Feature: planned stop of a node
+
+  Scenario Outline: a call that comes late in the grace period <how> is not cut without an answer
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a call comes <how> 3 s after SIGTERM to a node
+    Then the call receives a complete answer
+    And the call ran if and only if it was answered with 200
+
+    Examples:
+      | how                                      |
+      | as the rest of one that was begun before |
+      | behind another one on its connection     |
+      | from another node                        |
+
+  Scenario: a call that is still running at the end of the grace period receives an answer
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a call that runs for 9 s is in flight at SIGTERM to a node
+    Then the call receives a complete answer
+    And the node has exited within its grace period
+
+  Scenario: callers that use open connections until a node is gone lose no call that ran
+    Given a mesh with two targets of a service in each of two domains
+    When callers use open connections to nodes that stop in turn, with seed 26
+    Then every call that ran has received an answer
+    And every call that is not idempotent ran at most once
--- /dev/null
+++ b/tests/steps/test_mesh_grace.py
@@ -0,0 +1,81 @@
+"""Steps for the grace period of a node, in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import async_solipsism
+import behave
+
+from benchmarks.model import clock as model_clock
+from pomelobend import errors
+from pomelobend.mesh import grace as graces
+
+TIMER_SLACK_S = 0.001
+
+
+@behave.given(
+    'a node that has received SIGTERM with a grace period of {grace_s:d} s'
+)
+def given_stopping(context: typing.Any, grace_s: int) -> None:
+    context.loop = async_solipsism.EventLoop()
+    context.run = context.loop.run_until_complete
+    context.grace_s = grace_s
+
+    async def create() -> None:
+        context.clock = model_clock.LoopClock()
+        context.grace = graces.Grace(context.clock)
+
+    context.run(create())
+
+
+@behave.when('a call comes after {came_s:g} s that ends within {left_s:g} s')
+def when_comes(context: typing.Any, came_s: float, left_s: float) -> None:
+    async def act() -> None:
+        context.grace.begin(context.grace_s)
+        await asyncio.sleep(came_s)
+        try:
+            context.grace.check(context.clock.monotonic() + left_s)
+        except errors.CallRefusedError as refusal:
+            assert refusal.run is errors.Run.NOT_RUN
+            assert refusal.reason is errors.Reason.STOPPING
+            context.outcome = 'refused'
+        else:
+            context.outcome = 'accepted'
+
+    context.run(act())
+
+
+@behave.then('it is {outcome} as far as the grace period goes')
+def then_outcome(context: typing.Any, outcome: str) -> None:
+    assert context.outcome == outcome, context.outcome
+
+
+@behave.when('a call that came {when} waits until {deadline_s:g} s after it')
+def when_waits(context: typing.Any, when: str, deadline_s: float) -> None:
+    async def wait(deadline: float) -> float:
+        try:
+            async with context.grace.timeout(deadline):
+                await asyncio.sleep(2 * deadline_s)
+        except TimeoutError:
+            pass
+        return context.clock.monotonic()
+
+    async def act() -> None:
+        started = context.clock.monotonic()
+        if when == 'after it':
+            context.grace.begin(context.grace_s)
+        waiting = asyncio.create_task(wait(started + deadline_s))
+        await asyncio.sleep(0)
+        if when == 'before it':
+            context.grace.begin(context.grace_s)
+        context.replied_s = await waiting - started
+        assert not context.grace.timeouts
+
+    context.run(act())
+
+
+@behave.then('its caller is replied to {reply_s:g} s after SIGTERM')
+def then_replied(context: typing.Any, reply_s: float) -> None:
+    assert abs(context.replied_s - reply_s) <= TIMER_SLACK_S, context.replied_s
--- a/tests/steps/test_routing_changes.py
+++ b/tests/steps/test_routing_changes.py
@@ -49,7 +49,7 @@
 def when_called(context: typing.Any) -> None:
     context.counters = counter_module.Counters()
     front = fronts.Front(
-        'tonabok', None, context.state, None, context.counters, None
+        'tonabok', None, context.state, None, context.counters, None, None
     )
     context.state.on_table.append(front.forget_removed_routes)
     for name in ('a', 'b'):
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -15,6 +15,7 @@
 from pomelobend.http import message
 from pomelobend.membership import member as members
 from pomelobend.mesh import front as fronts
+from pomelobend.mesh import grace as graces
 from pomelobend.metrics import counters
 from pomelobend.platform import decode
 from pomelobend.routing import budget as budgets
@@ -91,7 +92,13 @@
         startup,
     )
     return fronts.Front(
-        'steypudagar', own_clock, state, delivery, counts, startup
+        'steypudagar',
+        own_clock,
+        state,
+        delivery,
+        counts,
+        startup,
+        graces.Grace(own_clock),
     )
 
 
