--- a/tests/steps/test_admission_overload.py
+++ b/tests/steps/test_admission_overload.py
@@ -151,6 +151,16 @@
     assert shares['second'] >= QUARTER * shares['main'], shares
 
 
+@behave.then(
+    'the first route is served at least a quarter as often as all calls'
+)
+def then_not_starved(context: typing.Any) -> None:
+    served = sum(reason is None for _, reason, _ in context.outcomes)
+    share = served / len(context.outcomes)
+    shares = served_shares(context)
+    assert shares['main'] >= QUARTER * share, (shares, share)
+
+
 @behave.then('the second route is served no less often than the first')
 def then_no_less(context: typing.Any) -> None:
     shares = served_shares(context)
