--- a/review/lib/wire.py
+++ b/review/lib/wire.py
@@ -5,16 +5,34 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import socket
 
 READ_BYTES = 65_536
 
 
+PORTS = range(15_000, 32_000)
+"""Ports below those that outgoing connections get."""
+
+_used: set[int] = set()
+
+
 def free_port() -> int:
     """Return a loopback port that is not in use at the moment."""
+    while True:
+        port = random.choice(PORTS)
+        if port not in _used and _is_free(port):
+            _used.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclasses.dataclass
