--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -42,7 +42,8 @@
         self.version = version
         self.slots = slots
         self.bad_share = 0.0
-        self.bad_path = '/'
+        self.bad_above_per_s = 0
+        self.arrivals: list[float] = []
         self.address = f'127.0.0.1:{wire.free_port()}'
         self.control = ''
         self.beat_s = 1.5
@@ -210,6 +211,14 @@
                 self.running -= 1
                 self.free.notify()
 
+    def _is_bad(self) -> bool:
+        """Return whether a bad version fails this request."""
+        now = time.monotonic()
+        self.arrivals = [at for at in self.arrivals if at > now - 1]
+        self.arrivals.append(now)
+        is_loaded = len(self.arrivals) > self.bad_above_per_s
+        return is_loaded and self.count * 37 % 100 < 100 * self.bad_share
+
     def _is_too_cold(self) -> bool:
         """Crash if more requests arrive than a cold backend can bear."""
         now = time.monotonic()
@@ -257,10 +266,7 @@
         left_s = float(headers.get('x-deadline-ms', 60_000)) / 1000
         await asyncio.sleep(min(work_s, left_s))
         signed = {**echo, 'x-response-signature': f'{self.id}.{self.count}'}
-        is_bad = (
-            path.startswith(self.bad_path)
-            and self.count * 37 % 100 < 100 * self.bad_share
-        )
+        is_bad = self._is_bad()
         if work_s > left_s or is_bad:
             self.note('runs badly', attempt=attempt, id=self.id)
             return (504 if work_s > left_s else 500), signed, b''
