Review: scripts side by side no longer take each other's ports

Cause: ports were drawn at random and tested, but a node binds them later. Of eleven scripts started together two ended with 2; their logs show the address in use, and the settings files the same port in two scripts. Each script now holds a slice of the ports for itself.

--- a/review/lib/wire.py
+++ b/review/lib/wire.py
@@ -14,16 +14,30 @@
 PORTS = range(15_000, 32_000)
 """Ports below those that outgoing connections get."""
 
-_used: set[int] = set()
+SLICE = 200
+
+_guard: list[socket.socket] = []
+_own: list[int] = []
 
 
 def free_port() -> int:
-    """Return a loopback port that is not in use at the moment."""
-    while True:
-        port = random.choice(PORTS)
-        if port not in _used and _is_free(port):
-            _used.add(port)
-            return port
+    """Return a port of the slice that this script holds for itself."""
+    while not _guard:
+        _take_slice(random.randrange(PORTS.start, PORTS.stop, SLICE))
+    port = _own.pop()
+    return port if _is_free(port) else free_port()
+
+
+def _take_slice(first: int) -> None:
+    """Hold the first port of a slice, so that no other script takes it."""
+    guard = socket.socket()
+    try:
+        guard.bind(('127.0.0.1', first))
+    except OSError:
+        guard.close()
+        return
+    _guard.append(guard)
+    _own.extend(range(first + 1, first + SLICE))
 
 
 def _is_free(port: int) -> bool:
