--- /dev/null
+++ b/tests/steps/test_targets_endless.py
@@ -0,0 +1,217 @@
+"""Steps of answers that do not end."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import re
+import typing
+
+import attrs
+import behave
+
+from pomelobend import clock as clocks
+from pomelobend import errors
+from pomelobend.platform import headers as wire
+from pomelobend.routing import call as call_module
+from pomelobend.targets import body_memory
+from pomelobend.targets import channel as channels
+from pomelobend.targets import client as target_clients
+from standins import fleet
+from tests.steps import test_targets_channel
+
+LIMIT_BYTES = 4 * 1024 * 1024
+MAX_SENT_BYTES = 64 * 1024 * 1024
+BLOCK = b'b' * 65536
+SOON_S = 10.0
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+OTHER = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n'
+ENDLESS = {
+    'one header': (HEAD + b'X-Long: ', BLOCK),
+    'one header name': (HEAD + b'X-', BLOCK),
+    'headers': (HEAD, b'X-One: %b\r\n' % (b'v' * 100)),
+    'a status text': (b'HTTP/1.1 200 ', BLOCK),
+    'informational answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+    'answers of another call': (b'', OTHER * 100),
+    'blank lines': (b'', b'\r\n' * 1000),
+    'a chunk extension': (CHUNKED + b'5;', BLOCK),
+    'a trailer': (CHUNKED + b'5\r\nbells\r\n0\r\nX-Long: ', BLOCK),
+    'chunks': (CHUNKED, b'10000\r\n' + BLOCK + b'\r\n'),
+    'a body until the close': (HEAD + b'\r\n', BLOCK),
+}
+"""First bytes of each answer, and the bytes that are repeated after them."""
+
+
+@attrs.define
+class Target:
+    """A target that writes to each call what a function returns for it."""
+
+    answer: typing.Callable[[int, bytes], typing.Iterable[bytes]]
+    calls: int = 0
+    sent_bytes: int = 0
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the calls of one connection."""
+        self.tasks.add(asyncio.current_task())
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                attempt_id = re.search(rb'x-attempt-id: (\S+)', head)[1]
+                self.calls += 1
+                for data in self.answer(self.calls, attempt_id):
+                    writer.write(data)
+                    self.sent_bytes += len(data)
+                    await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def _start(
+    context: typing.Any,
+    answer: typing.Callable[[int, bytes], typing.Iterable[bytes]],
+) -> None:
+    (port,) = fleet.free_ports(1)
+    context.target = Target(answer)
+    context.run(
+        test_targets_channel.start_server(context, context.target.serve, port)
+    )
+    context.stack.push_async_callback(_stop, context.target)
+    clock = clocks.SystemClock()
+    context.client = target_clients.Client(
+        clock,
+        channels.ChannelPool(clock),
+        1.0,
+        wire.TargetDialect(),
+        buffers_bodies=True,
+        memory=body_memory.BodyMemory(LIMIT_BYTES),
+    )
+    context.client.use(f'127.0.0.1:{port}')
+
+
+async def _stop(target: Target) -> None:
+    for task in target.tasks:
+        task.cancel()
+    await asyncio.wait(target.tasks)
+
+
+def _endless(what: str, attempt_id: bytes) -> typing.Iterable[bytes]:
+    first, repeated = ENDLESS[what]
+    start = first.replace(b'%b', attempt_id)
+    return itertools.chain([start], itertools.repeat(repeated))
+
+
+def _whole(attempt_id: bytes, size: int) -> list[bytes]:
+    length = b'Content-Length: %d\r\n\r\n' % size
+    return [HEAD % attempt_id + length + b'b' * size]
+
+
+@behave.given('an answer with {what} without end')
+def given_endless(context: typing.Any, what: str) -> None:
+    _start(context, lambda _, attempt_id: _endless(what, attempt_id))
+
+
+@behave.given('an announced body beyond the limit')
+def given_announced(context: typing.Any) -> None:
+    length = b'Content-Length: %d\r\n\r\n' % (LIMIT_BYTES + 1)
+    _start(context, lambda _, attempt_id: [HEAD % attempt_id + length])
+
+
+@behave.given('an answer as large as the limit')
+def given_large(context: typing.Any) -> None:
+    context.size = LIMIT_BYTES
+    _start(context, lambda _, attempt_id: _whole(attempt_id, LIMIT_BYTES))
+
+
+@behave.given('1 MiB of another call before an answer')
+def given_late(context: typing.Any) -> None:
+    context.size = 5
+    _start(
+        context,
+        lambda _, attempt_id: (
+            _whole(b'other', 1024 * 1024) + _whole(attempt_id, 5)
+        ),
+    )
+
+
+@behave.given('chunks without end for the first of {count:d} calls')
+def given_one_endless(context: typing.Any, count: int) -> None:
+    context.size = 100_000
+
+    def answer(number: int, attempt_id: bytes) -> typing.Iterable[bytes]:
+        if number == 1:
+            return _endless('chunks', attempt_id)
+        return _whole(attempt_id, context.size)
+
+    _start(context, answer)
+
+
+async def _send(
+    client: target_clients.Client, number: int, deadline_s: float
+) -> bytes | errors.Reason:
+    """Send a call; return the body of its answer, or why there is none."""
+    now = client.clock.monotonic()
+    call = call_module.Call(
+        route_name='lookup',
+        service='tonabok',
+        method='GET',
+        path=b'/a/',
+        headers=[('host', 'a.example'), ('x-attempt-id', f'a{number}')],
+        started=now,
+        deadline=now + deadline_s,
+        is_idempotent=True,
+        priority=1,
+        objective_ms=500,
+    )
+    try:
+        return (await client.call(call)).body
+    except errors.CallRefusedError as refusal:
+        return refusal.reason
+
+
+@behave.when('the target gets a call with a deadline of {seconds:d} s')
+def when_called(context: typing.Any, seconds: int) -> None:
+    clock = context.client.clock
+    started = clock.monotonic()
+    context.outcome = context.run(_send(context.client, 1, seconds))
+    context.seconds = clock.monotonic() - started
+
+
+@behave.when('the target gets {count:d} calls at a time')
+def when_called_often(context: typing.Any, count: int) -> None:
+    async def act() -> list[bytes | errors.Reason]:
+        first = asyncio.create_task(_send(context.client, 0, 20.0))
+        while not context.target.calls:
+            await asyncio.sleep(0.001)
+        others = [_send(context.client, n, 20.0) for n in range(1, count)]
+        return [*await asyncio.gather(*others), await first]
+
+    *context.outcomes, context.outcome = context.run(act())
+
+
+@behave.then('the call ends as lost, well before its deadline')
+def then_lost(context: typing.Any) -> None:
+    assert context.outcome is errors.Reason.TARGET_LOST, context.outcome
+    assert context.seconds < SOON_S, context.seconds
+
+
+@behave.then('the target has sent less than 64 MiB')
+def then_sent(context: typing.Any) -> None:
+    sent = context.target.sent_bytes
+    assert sent < MAX_SENT_BYTES, sent
+
+
+@behave.then('the body arrives whole')
+def then_whole(context: typing.Any) -> None:
+    assert context.outcome == b'b' * context.size, len(context.outcome)
+
+
+@behave.then('all calls but the first are answered')
+def then_others(context: typing.Any) -> None:
+    assert context.outcome is errors.Reason.TARGET_LOST, context.outcome
+    expected = b'b' * context.size
+    assert all(item == expected for item in context.outcomes)
--- /dev/null
+++ b/tests/targets/test_targets_endless.feature
@@ -0,0 +1,44 @@
+@uvloop
+Feature: answers of a target that do not end
+
+  # Guards against a faulty target whose endless bytes fill the memory of the
+  # node, or take its processor time, until the caller leaves.
+  Scenario Outline: an answer with <what> without end is broken off
+    Given an answer with <what> without end
+    When the target gets a call with a deadline of 20 s
+    Then the call ends as lost, well before its deadline
+    And the target has sent less than 64 MiB
+
+    Examples:
+      | what                      |
+      | one header                |
+      | one header name           |
+      | headers                   |
+      | a status text             |
+      | informational answers     |
+      | answers of another call   |
+      | blank lines               |
+      | a chunk extension         |
+      | a trailer                 |
+      | chunks                    |
+      | a body until the close    |
+
+  Scenario: a length beyond the limit is refused without reading the body
+    Given an announced body beyond the limit
+    When the target gets a call with a deadline of 20 s
+    Then the call ends as lost, well before its deadline
+
+  Scenario: an answer up to the limit arrives whole
+    Given an answer as large as the limit
+    When the target gets a call with a deadline of 20 s
+    Then the body arrives whole
+
+  Scenario: a large late answer of another call is skipped
+    Given 1 MiB of another call before an answer
+    When the target gets a call with a deadline of 20 s
+    Then the body arrives whole
+
+  Scenario: answers beside one without end are delivered
+    Given chunks without end for the first of 20 calls
+    When the target gets 20 calls at a time
+    Then all calls but the first are answered
