Store: an odd entry costs only itself

RecursionError and KeyError ended the task that follows the list, long numbers made the store count as away, nesting of 400 and lone surrogates could not be passed to other nodes, invalid ports raised errors that callers of connections do not catch.

--- a/pomelobend/addresses.py
+++ b/pomelobend/addresses.py
@@ -2,16 +2,34 @@
 
 from __future__ import annotations
 
+import re
 import socket
 
+from pomelobend import errors
+
 BACKLOG = 1024
 """Connections that may wait until they are accepted."""
 
 
+_PATTERN = re.compile(
+    r'(?P<host>[0-9A-Za-z._-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\])'
+    r':(?P<port>[0-9]{1,5})'
+)
+
+MAX_PORT = 65535
+
+
 def split(address: str) -> tuple[str, int]:
-    """Return the host and the port of an ``ip:port`` address."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
+    """Return the host and the port of an ``ip:port`` address.
+
+    Raises
+    ------
+    errors.AddressInvalidError
+    """
+    match = _PATTERN.fullmatch(address)
+    if match is None or int(match['port']) > MAX_PORT:
+        raise errors.AddressInvalidError(f'no address: {address[:80]!r}')
+    return match['host'].strip('[]'), int(match['port'])
 
 
 def listen(address: str) -> socket.socket:
