Targets: calls after large answers are answered

What callers saw: a call that its target ran and answered ended with 504 after its full time, if it followed an answer above 256 KiB on the same connection.

Cause: reading pauses above 256 KiB. When the last bytes of an answer crossed the limit, nothing resumed it, and the connection went back to the pool deaf.

--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -24,6 +24,7 @@
 MAX_SENT_BYTES = 64 * 1024 * 1024
 BLOCK = b'b' * 65536
 SOON_S = 10.0
+SEQUENCE_DEADLINE_S = 2.0
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -150,12 +151,12 @@
     _start(context, answer)
 
 
-async def _send(
+def _call(
     client: target_clients.Client, number: int, deadline_s: float
-) -> bytes | errors.Reason:
-    """Send a call; return the body of its answer, or why there is none."""
+) -> call_module.Call:
+    """Return a call with the deadline."""
     now = client.clock.monotonic()
-    call = call_module.Call(
+    return call_module.Call(
         route_name='lookup',
         service='tonabok',
         method='GET',
@@ -167,6 +168,13 @@
         priority=1,
         objective_ms=500,
     )
+
+
+async def _send(
+    client: target_clients.Client, number: int, deadline_s: float
+) -> bytes | errors.Reason:
+    """Send a call; return the body of its answer, or why there is none."""
+    call = _call(client, number, deadline_s)
     try:
         return (await client.call(call)).body
     except errors.CallRefusedError as refusal:
@@ -215,3 +223,36 @@
     assert context.outcome is errors.Reason.TARGET_LOST, context.outcome
     expected = b'b' * context.size
     assert all(item == expected for item in context.outcomes)
+
+
+def _size(number: int) -> int:
+    """Return the size of the answer to a call, from 200 KiB to 2 MiB."""
+    return 200 * 1024 + number * 7919 % (2 * 1024 * 1024)
+
+
+@behave.given('answers of 200 KiB to 2 MiB on kept connections')
+def given_kept(context: typing.Any) -> None:
+    _start(
+        context, lambda number, attempt_id: _whole(attempt_id, _size(number))
+    )
+
+
+@behave.when('the target gets {count:d} calls in sequence')
+def when_in_sequence(context: typing.Any, count: int) -> None:
+    async def act() -> list[bytes | errors.Reason]:
+        return [
+            await _send(context.client, number, SEQUENCE_DEADLINE_S)
+            for number in range(1, count + 1)
+        ]
+
+    context.outcomes = context.run(act())
+
+
+@behave.then('each call has received its own answer')
+def then_own(context: typing.Any) -> None:
+    found = [
+        outcome if isinstance(outcome, errors.Reason) else len(outcome)
+        for outcome in context.outcomes
+    ]
+    expected = [_size(number + 1) for number in range(len(found))]
+    assert found == expected, found
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -42,3 +42,10 @@
     Given chunks without end for the first of 20 calls
     When the target gets 20 calls at a time
     Then all calls but the first are answered
+
+  # Guards against a connection on which nothing is read any more, as reading
+  # was paused when a large answer ended: the next call on it got no answer.
+  Scenario: calls after large answers on kept connections are answered
+    Given answers of 200 KiB to 2 MiB on kept connections
+    When the target gets 60 calls in sequence
+    Then each call has received its own answer
