Targets: the rest of an answer is not delivered to the next call

What callers would see: a body that starts with the rest of another answer, after a caller left in the middle of a large one. Only where answers are streamed, not at the nodes of the users' platform, which collect them.

Cause: the pool kept a connection whose answer had ended, read or not.

--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import re
 import typing
@@ -25,6 +26,7 @@
 BLOCK = b'b' * 65536
 SOON_S = 10.0
 SEQUENCE_DEADLINE_S = 2.0
+ARRIVAL_S = 0.2
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -256,3 +258,27 @@
     ]
     expected = [_size(number + 1) for number in range(len(found))]
     assert found == expected, found
+
+
+@behave.when(
+    'a call is broken off after the head of its answer, and another follows'
+)
+def when_broken_off(context: typing.Any) -> None:
+    client = context.client
+    client.buffers_bodies = False
+
+    async def act() -> bytes | errors.Reason:
+        call = _call(client, 1, SEQUENCE_DEADLINE_S)
+        answer = await client.call(call)
+        async with contextlib.aclosing(answer.remaining_body) as parts:
+            await anext(parts)
+            await asyncio.sleep(ARRIVAL_S)
+        client.buffers_bodies = True
+        return await _send(client, 2, SEQUENCE_DEADLINE_S)
+
+    context.outcome = context.run(act())
+
+
+@behave.then('the second call has received its own answer')
+def then_second_own(context: typing.Any) -> None:
+    assert len(context.outcome) == _size(2), len(context.outcome)
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -49,3 +49,8 @@
     Given answers of 200 KiB to 2 MiB on kept connections
     When the target gets 60 calls in sequence
     Then each call has received its own answer
+
+  Scenario: what is left of an answer is not taken for that of the next call
+    Given answers of 200 KiB to 2 MiB on kept connections
+    When a call is broken off after the head of its answer, and another follows
+    Then the second call has received its own answer
