--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -25,3 +25,11 @@
     When callers use open connections to nodes that stop in turn, with seed 26
     Then every call that ran has received an answer
     And every call that is not idempotent ran at most once
+
+  # Guards against a node that ends while part of a ready answer is still in
+  # its own buffer, as the caller reads slowly.
+  Scenario: a ready answer reaches a caller that reads slowly
+    Given a mesh with two targets of a service in each of two domains
+    When a node gets SIGTERM while a caller reads 16 MiB from it at 4 MiB/s
+    Then the caller has received the whole answer
+    And the node has exited within its grace period
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import random
+import socket
 import time
 import typing
 
@@ -30,6 +31,8 @@
 EXIT_S = 8.0
 CALLERS = 6
 STATUS_LINE_BYTES = 12
+MIB = 1024 * 1024
+PART_BYTES = 64 * 1024
 
 
 @attrs.define
@@ -355,3 +358,43 @@
         > (request.status not in (503, 429, 408, 421))
     ]
     assert not wrong, wrong
+
+
+@behave.when(
+    'a node gets SIGTERM while a caller reads {size:d} MiB from it at'
+    ' {rate:d} MiB/s'
+)
+def when_slow_reader(context: typing.Any, size: int, rate: int) -> None:
+    host, _, port = (
+        context.mesh.vms[NODE].addresses['outbound'].rpartition(':')
+    )
+    request = Request('slow', NODE, work_s=0.01).encode()
+    extra = f'x-answer-bytes: {size * MIB}\r\n'.encode()
+    request = request.replace(b'content-length', extra + b'content-length')
+
+    async def act() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PART_BYTES)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_sendall(sock, request)
+            context.received = 0
+            while part := await loop.sock_recv(sock, PART_BYTES):
+                if not context.received:
+                    stop(context, NODE)
+                context.received += len(part)
+                if context.received >= size * MIB:
+                    break
+                await asyncio.sleep(len(part) / (rate * MIB))
+
+        context.code = await context.mesh.vms[NODE].node.wait(EXIT_S)
+        context.ended_at = time.monotonic()
+
+    context.expected = size * MIB
+    context.run(act())
+
+
+@behave.then('the caller has received the whole answer')
+def then_whole_answer(context: typing.Any) -> None:
+    assert context.received >= context.expected, context.received
