--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -24,6 +24,7 @@
     Given a mesh with two targets of a service in each of two domains
     When callers use open connections to nodes that stop in turn, with seed 26
     Then every call that ran has received an answer
+    And no call has waited for its whole time
     And every call that is not idempotent ran at most once
 
   # Guards against a node that ends while part of a ready answer is still in
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import random
+import signal
 import socket
 import time
 import typing
@@ -33,6 +34,8 @@
 STATUS_LINE_BYTES = 12
 MIB = 1024 * 1024
 PART_BYTES = 64 * 1024
+LARGE_SHARE = 0.25
+MAX_ANSWER_BYTES = 3 * MIB // 2
 
 
 @attrs.define
@@ -52,6 +55,7 @@
     work_s: float = WORK_S
     deadline_s: float = CALL_S
     body: bytes = b''
+    answer_bytes: int = 0
     status: int = 0
     sent_at: float = 0.0
 
@@ -63,6 +67,7 @@
             f'x-attempt-id: {self.identity}',
             f'x-deadline-ms: {round(self.deadline_s * 1000)}',
             f'x-work-s: {self.work_s}',
+            f'x-answer-bytes: {self.answer_bytes}',
             f'content-length: {len(self.body)}',
         ]
         return '\r\n'.join(lines).encode() + b'\r\n\r\n' + self.body
@@ -277,8 +282,14 @@
             '/booking/a' if is_booking else '/lookup/a',
             round(self.random.uniform(0.01, 1.2), 3),
             body=b'x' * self.random.randrange(2000),
+            answer_bytes=self._answer_bytes(),
         )
 
+    def _answer_bytes(self) -> int:
+        """Return the size of an answer, of which one in four is large."""
+        is_large = self.random.random() < LARGE_SHARE
+        return self.random.randrange(MAX_ANSWER_BYTES if is_large else 2000)
+
     async def run(self, until: asyncio.Event) -> None:
         """Send requests until told to end, each after the last answer."""
         while not until.is_set():
@@ -326,7 +337,9 @@
         stops = []
         for name in names:
             stops.append(asyncio.create_task(restart(name)))
-            await asyncio.sleep(rng.uniform(1.0, 7.0))
+            await asyncio.sleep(rng.uniform(0.5, 3.5))
+            context.mesh.vms[rng.choice(names)].node.signal(signal.SIGHUP)
+            await asyncio.sleep(rng.uniform(0.5, 3.5))
         await asyncio.gather(*stops)
         until.set()
         await asyncio.gather(*tasks)
@@ -348,6 +361,12 @@
     assert answered >= len(context.requests) / 2, answered
 
 
+@behave.then('no call has waited for its whole time')
+def then_no_timeout(context: typing.Any) -> None:
+    late = [item for item in context.requests if item.status == 504]
+    assert not late, late
+
+
 @behave.then('every call that is not idempotent ran at most once')
 def then_at_most_once(context: typing.Any) -> None:
     wrong = [
@@ -368,9 +387,9 @@
     host, _, port = (
         context.mesh.vms[NODE].addresses['outbound'].rpartition(':')
     )
-    request = Request('slow', NODE, work_s=0.01).encode()
-    extra = f'x-answer-bytes: {size * MIB}\r\n'.encode()
-    request = request.replace(b'content-length', extra + b'content-length')
+    request = Request(
+        'slow', NODE, work_s=0.01, answer_bytes=size * MIB
+    ).encode()
 
     async def act() -> None:
         loop = asyncio.get_running_loop()
