Split: the pool of connections and the request being received are modules

targets/channel.py keeps one connection, targets/channel_pool.py the pool; http/incoming.py is the request that is received. No change of behaviour.

--- /dev/null
+++ b/pomelobend/http/incoming.py
@@ -0,0 +1,54 @@
+"""A request that is being received."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from pomelobend import errors
+from pomelobend.http import message
+
+
+@attrs.define(eq=False)
+class Incoming:
+    """A request that is being received."""
+
+    target: bytes = b''
+    headers: message.Headers = attrs.field(factory=list)
+    size: int = 0
+    parts: list[bytes] = attrs.field(factory=list)
+    body_size: int = 0
+    is_chunked: bool = False
+
+    def check_framing(self) -> None:
+        """Reject a head that two HTTP parsers could interpret differently.
+
+        Raises
+        ------
+        errors.RequestMalformedError
+        """
+        values = collections.defaultdict(list)
+        for name, value in self.headers:
+            values[name].append(value)
+        if len(values['host']) != 1:
+            raise errors.RequestMalformedError(
+                400, 'expected exactly one Host header'
+            )
+        if len(values['content-length']) > 1:
+            raise errors.RequestMalformedError(
+                400, 'multiple Content-Length headers'
+            )
+        transfer_codings = [
+            value.lower() for value in values['transfer-encoding']
+        ]
+        if transfer_codings and (
+            transfer_codings != ['chunked'] or values['content-length']
+        ):
+            raise errors.RequestMalformedError(
+                400, 'unsupported or ambiguous Transfer-Encoding'
+            )
+        if not self.target.startswith(b'/') or not self.target.isascii():
+            raise errors.RequestMalformedError(
+                400, 'request target is not an ASCII path'
+            )
--- /dev/null
+++ b/pomelobend/targets/channel_pool.py
@@ -0,0 +1,88 @@
+"""Pool of persistent connections to one address."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+import attrs
+
+from pomelobend import addresses
+from pomelobend.targets import channel as channels
+
+if typing.TYPE_CHECKING:
+    from pomelobend import clock as clocks
+
+NON_IDEMPOTENT_IDLE_S = 1.0
+"""Idle time up to which a connection is reused for a non-idempotent call.
+A target may be about to close a connection that has been idle for longer."""
+
+KEEPALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+"""Detects a dead connection within 3 s even while no data is sent."""
+
+
+@attrs.define(eq=False)
+class ChannelPool:
+    """Pool of persistent connections; the last one used is reused first."""
+
+    clock: clocks.Clock
+    address: str = ''
+    options: tuple[tuple[int, int, int], ...] = ()
+    idle: list[channels.Channel] = attrs.field(factory=list)
+    opened: int = 0
+
+    def use(self, address: str) -> None:
+        """Set the target address; close idle connections to another one."""
+        if address != self.address:
+            self.close()
+            self.address = address
+
+    async def acquire(self, *, is_idempotent: bool) -> channels.Channel:
+        """Return an idle or new connection for one call.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened.
+        """
+        now = self.clock.monotonic()
+        while self.idle:
+            channel = self.idle.pop()
+            max_idle_s = (
+                channel.idle_s if is_idempotent else NON_IDEMPOTENT_IDLE_S
+            )
+            if channel.is_open and now - channel.idle_since <= max_idle_s:
+                return channel
+            channel.close()
+        host, port = addresses.split(self.address)
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        _, channel = await loop.create_connection(channels.Channel, host, port)
+        sock = channel.transport.get_extra_info('socket')
+        for option in self.options:
+            sock.setsockopt(*option)
+        return channel
+
+    def release(self, channel: channels.Channel) -> None:
+        """Return a reusable connection to the pool, or close it.
+
+        One with an unread rest of a response is closed, as the rest would be
+        taken for the start of the next response.
+        """
+        if channel.is_reusable and channel.is_open and channel.is_read:
+            channel.idle_since = self.clock.monotonic()
+            self.idle.append(channel)
+        else:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for channel in self.idle:
+            channel.close()
+        self.idle.clear()
--- a/tests/steps/test_platform_odd_entries.py
+++ b/tests/steps/test_platform_odd_entries.py
@@ -15,7 +15,7 @@
 from pomelobend.peers import link
 from pomelobend.platform import decode
 from pomelobend.platform import objects
-from pomelobend.targets import channel as channels
+from pomelobend.targets import channel_pool as channel_pools
 
 SOUND = ('selfoss-1', 'vik-1')
 SPEC = '{"address": "10.0.0.1:80", "domain": "vik"}'
@@ -75,7 +75,7 @@
 
 def _store(*bodies: str) -> Store:
     clock = clocks.SystemClock()
-    return Store(channels.ChannelPool(clock), clock, bodies=list(bodies))
+    return Store(channel_pools.ChannelPool(clock), clock, bodies=list(bodies))
 
 
 def _page(entries: list[str], *, has_more: bool = False) -> str:
@@ -170,7 +170,7 @@
         pass
     else:
         raise AssertionError('the record is used')
-    pool = channels.ChannelPool(clocks.SystemClock())
+    pool = channel_pools.ChannelPool(clocks.SystemClock())
     pool.use(context.address)
     try:
         context.run(pool.acquire(is_idempotent=True))
--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -16,7 +16,7 @@
 from pomelobend.platform import headers as wire
 from pomelobend.routing import call as call_module
 from pomelobend.targets import body_memory
-from pomelobend.targets import channel as channels
+from pomelobend.targets import channel_pool as channel_pools
 from pomelobend.targets import client as target_clients
 from standins import fleet
 from tests.steps import test_targets_channel
@@ -87,7 +87,7 @@
     clock = clocks.SystemClock()
     context.client = target_clients.Client(
         clock,
-        channels.ChannelPool(clock),
+        channel_pools.ChannelPool(clock),
         1.0,
         wire.TargetDialect(),
         buffers_bodies=True,
