Grace: a call that reaches its limit does not end the stop of its node

Callers saw: a node that gets SIGTERM ends at once with a traceback, and all calls in flight on it end without an answer. Cause: Grace.begin moves the time-outs of all calls, and asyncio raises RuntimeError for one that was reached but has not been left yet, so that Node.stop failed. Evidence: the new scenario failed before (RuntimeError: Cannot change state of expiring Timeout). Why this works: such a time-out ends by itself.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -55,8 +55,10 @@
         self.closes_at = now + grace_s - CLOSE_RESERVE_S
         self.replies_until = self.closes_at - REPLY_RESERVE_S
         end = asyncio.get_running_loop().time() + self.replies_until - now
+        # asyncio refuses to move a timeout that was reached in this moment.
         for timeout in self.timeouts:
-            timeout.reschedule(min(timeout.when(), end))
+            if not timeout.expired():
+                timeout.reschedule(min(timeout.when(), end))
 
     def check(self, deadline: float) -> None:
         """Refuse a new call that would outlast the grace period.
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -24,3 +24,10 @@
       | after it      | 9.0        | 5.3     |
       | before it     | 3.0        | 3.0     |
       | after it      | 3.0        | 3.0     |
+
+  # Guards against a stop that fails because a call has reached its time limit
+  # at the same moment, and ends all other calls with it.
+  Scenario: a grace period begins while a call reaches its time limit
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When the grace period begins while a call of 0.5 s reaches its limit beside one of 9 s
+    Then the callers are replied to 0.5 s and 5.8 s after they came
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -52,21 +52,54 @@
     assert context.outcome == outcome, context.outcome
 
 
+async def wait(context: typing.Any, deadline: float) -> float:
+    """Wait longer than a deadline allows; return when the wait ended."""
+    try:
+        async with context.grace.timeout(deadline):
+            await asyncio.sleep(2 * (deadline - context.clock.monotonic()))
+    except TimeoutError:
+        pass
+    return context.clock.monotonic()
+
+
+@behave.when(
+    'the grace period begins while a call of {short_s:g} s reaches its limit'
+    ' beside one of {long_s:g} s'
+)
+def when_at_limit(context: typing.Any, short_s: float, long_s: float) -> None:
+    async def act() -> None:
+        started = context.clock.monotonic()
+        context.loop.call_later(
+            short_s, context.loop.call_soon, context.grace.begin, 6
+        )
+        ended = await asyncio.gather(
+            wait(context, started + short_s), wait(context, started + long_s)
+        )
+        context.replied_s = [at - started for at in ended]
+
+    context.run(act())
+
+
+@behave.then(
+    'the callers are replied to {first_s:g} s and {second_s:g} s after they'
+    ' came'
+)
+def then_replied_both(
+    context: typing.Any, first_s: float, second_s: float
+) -> None:
+    for found, expected in zip(
+        context.replied_s, (first_s, second_s), strict=True
+    ):
+        assert abs(found - expected) <= TIMER_SLACK_S, context.replied_s
+
+
 @behave.when('a call that came {when} waits until {deadline_s:g} s after it')
 def when_waits(context: typing.Any, when: str, deadline_s: float) -> None:
-    async def wait(deadline: float) -> float:
-        try:
-            async with context.grace.timeout(deadline):
-                await asyncio.sleep(2 * deadline_s)
-        except TimeoutError:
-            pass
-        return context.clock.monotonic()
-
     async def act() -> None:
         started = context.clock.monotonic()
         if when == 'after it':
             context.grace.begin(context.grace_s)
-        waiting = asyncio.create_task(wait(started + deadline_s))
+        waiting = asyncio.create_task(wait(context, started + deadline_s))
         await asyncio.sleep(0)
         if when == 'before it':
             context.grace.begin(context.grace_s)
