--- a/pomelobend/rollouts/exposure.py
+++ b/pomelobend/rollouts/exposure.py
@@ -20,8 +20,8 @@
         Calls allowed in addition.
     """
 
-    share: float = 0.1
-    calls: int = 50
+    share: float
+    calls: int
 
     def calls_left(
         self, used: int, calls_per_s: float, duration_s: float
--- a/tests/steps/test_mesh_rollout_controller.py
+++ b/tests/steps/test_mesh_rollout_controller.py
@@ -22,6 +22,8 @@
 SERVICE = 'tonabok'
 MAX_SMALL_SHARE = 0.25
 CALLS = 200
+EXPOSURE_SHARE = 0.1
+EXPOSURE_CALLS = 50
 
 
 @attrs.define
@@ -70,7 +72,7 @@
         types.SimpleNamespace(service='innborgun', heartbeat=None),
         context.clock,
         states.State(),
-        exposure.Limit(),
+        exposure.Limit(EXPOSURE_SHARE, EXPOSURE_CALLS),
     )
     context.order = Order()
     context.ordered_at = context.clock.time_s
