--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -12,7 +12,13 @@
 
 @attrs.define(eq=False)
 class Incoming:
-    """A request that is being received."""
+    """A request that is being received.
+
+    Parameters
+    ----------
+    is_overdue : bool
+        Whether its time has ended, and what waits in the kernel is read.
+    """
 
     target: bytes = b''
     headers: message.Headers = attrs.field(factory=list)
@@ -20,6 +26,7 @@
     parts: list[bytes] = attrs.field(factory=list)
     body_size: int = 0
     is_chunked: bool = False
+    is_overdue: bool = False
 
     def check_framing(self) -> None:
         """Reject a head that two HTTP parsers could interpret differently.
