HTTP server: an idle time keeps the limit under which it began

Callers saw: a configuration with a smaller idle_timeout_ms closed connections at once that had been idle for less than the old limit; a caller that used one within four fifths of it met the close. Cause: the check used the limit of the moment.

A limit that has grown meanwhile counts too, as the caller may know it.

--- a/tests/http/test_http_closing.feature
+++ b/tests/http/test_http_closing.feature
@@ -68,3 +68,16 @@
     Examples: of uvloop
       | loop   |
       | uvloop |
+
+  Scenario: an idle connection is not closed before the limit under which it fell idle
+    Given an HTTP server whose connections may be idle for 30.0 s
+    And an open connection that has carried a request
+    When the limit becomes 0.2 s and the connection is idle for 0.4 s
+    Then a request on the connection has a complete answer
+    And the connection is closed once it has been idle for 0.4 s again
+
+  Scenario: an idle connection may stay as long as a limit that has grown meanwhile
+    Given an HTTP server whose connections may be idle for 0.2 s
+    And an open connection that has carried a request
+    When the limit becomes 30.0 s and the connection is idle for 0.4 s
+    Then a request on the connection has a complete answer
--- a/tests/steps/test_http_closing.py
+++ b/tests/steps/test_http_closing.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+import attrs
 import behave
 
 from pomelobend import clock as clocks
@@ -59,7 +60,7 @@
 async def call(client: socket.socket, target: bytes) -> bytes:
     """Send a request and read its reply, which comes in one part."""
     client.sendall(request(target))
-    return await asyncio.to_thread(client.recv, 65536)
+    return await asyncio.to_thread(receive, client)
 
 
 @behave.given('an HTTP server whose connections may be idle for {idle_s:f} s')
@@ -184,3 +185,36 @@
     assert context.run(asyncio.to_thread(read_available, context.unused)) == (
         b''
     )
+
+
+async def stay_idle(context: typing.Any, idle_s: float) -> None:
+    """Wait, then let the server look for idle connections."""
+    await asyncio.sleep(idle_s)
+    for connection in list(context.server.connections):
+        connection.sweep(context.server.clock.monotonic())
+    await asyncio.sleep(0.05)
+
+
+@behave.when(
+    'the limit becomes {limit_s:f} s and the connection is idle for'
+    ' {idle_s:f} s'
+)
+def when_limit_changes(
+    context: typing.Any, limit_s: float, idle_s: float
+) -> None:
+    context.server.bounds = attrs.evolve(context.server.bounds, idle_s=limit_s)
+    context.run(stay_idle(context, idle_s))
+
+
+@behave.then('a request on the connection has a complete answer')
+def then_usable(context: typing.Any) -> None:
+    reply = context.run(call(context.client, b'/last/'))
+    assert reply.endswith(b'\r\n\r\n/last/'), reply
+
+
+@behave.then(
+    'the connection is closed once it has been idle for {idle_s:f} s again'
+)
+def then_closed_later(context: typing.Any, idle_s: float) -> None:
+    context.run(stay_idle(context, idle_s))
+    assert context.run(asyncio.to_thread(receive, context.client)) == b''
