Signals: a node ends with 0 after any number of them, at any moment

Callers saw: a node that stops, or that has just been started, ends with -1, -2 or -15 when a further signal reaches it, and the calls on it end without an answer. Cause: the handlers belonged to the event loop, which takes them back when it is closed, before the process ends; the interpreter replaces other handlers by the default action while it ends; and the program for documents had none for SIGHUP, and the others only once it was loaded.

When the loop is gone the signals are ignored, which the interpreter leaves alone to its end.

--- /dev/null
+++ b/pomelobend/signals.py
@@ -0,0 +1,68 @@
+"""Signals, from the first line of a program to the end of its process.
+
+The handlers are set once and are never taken back, as a signal without a
+handler ends the process with all of its calls. An event loop takes its own
+handlers away when it is closed, so they are not used. The module imports next
+to nothing, as the time until the handlers are set counts.
+"""
+
+from __future__ import annotations
+
+import signal
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    import asyncio
+    from collections import abc
+    import types
+
+HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+_held: list[int] = []
+
+_loop: asyncio.AbstractEventLoop | None = None
+
+_handle: abc.Callable[[int], None] | None = None
+
+
+def hold() -> None:
+    """Hold back the signals from now on, until they are delivered."""
+    for number in HANDLED:
+        signal.signal(number, _receive)
+
+
+def deliver(
+    loop: asyncio.AbstractEventLoop, handle: abc.Callable[[int], None]
+) -> None:
+    """Call a function in an event loop for each signal, held ones first."""
+    global _loop, _handle
+    _loop, _handle = loop, handle
+    for _ in tuple(_held):
+        loop.call_soon(_deliver_next)
+
+
+def withhold() -> None:
+    """Hold back the signals again, before the event loop ends."""
+    global _loop, _handle
+    _loop = _handle = None
+
+
+def ignore() -> None:
+    """Ignore the signals until the process has ended.
+
+    The interpreter replaces handlers by the default action while it ends, but
+    leaves signals alone that are ignored.
+    """
+    for number in HANDLED:
+        signal.signal(number, signal.SIG_IGN)
+
+
+def _receive(number: int, _frame: types.FrameType | None) -> None:
+    _held.append(number)
+    if _loop is not None:
+        _loop.call_soon_threadsafe(_deliver_next)
+
+
+def _deliver_next() -> None:
+    if _held and _handle is not None:
+        _handle(_held.pop(0))
