Grace: the grace period counts from the arrival of SIGTERM

Callers saw: a call that runs on a node that stops ends with a closed connection, as the node is killed at the end of its grace period, before it has replied. Cause: the grace period was counted from the moment at which the event loop handled SIGTERM, or at which the program was loaded. From 0.7 s on between the two, the last replies came after the kill.

Evidence: two new scenarios with real processes and SIGKILL after 6 s, as on the platform: SIGTERM while the program is being loaded for 1.2 s more, and while the loop is held up for 1.2 s by settings that are read from a pipe. Seven scenarios in simulated time state the limits for signals up to 7 s old.

Why this works: the handler notes the time, which it does at the next bytecode while the loop is busy, and Grace.begin counts from it. With little time left half of it goes to answers that have arrived and to replies, but 0.1 s at least. A node that was late still accepts connections, as others learn only now that it stops, but refuses what would outlast the grace period.

What remains: a process that gets no processor time, or is stopped in a long function written in C, notes the time only when it runs again.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -26,6 +26,9 @@
 REPLY_RESERVE_S = 0.1
 """Time between the last reply to a caller and the closing of connections."""
 
+LEAST_S = 0.2
+"""Shortest time that a stop takes, however late SIGTERM was handled."""
+
 
 @attrs.define(eq=False)
 class Grace:
@@ -36,24 +39,39 @@
 
     Parameters
     ----------
-    accepts_until, replies_until, closes_at : float
+    accepts_until, listens_until, replies_until, closes_at : float
         Monotonic times at which calls are no longer accepted regardless of
-        their deadlines, at which callers that still wait get their replies,
-        and at which connections are closed; infinite before SIGTERM.
+        their deadlines, at which no more connections are accepted, at which
+        callers that still wait get their replies, and at which connections
+        are closed; infinite before SIGTERM.
     """
 
     clock: clocks.Clock
     accepts_until: float = math.inf
+    listens_until: float = math.inf
     replies_until: float = math.inf
     closes_at: float = math.inf
     timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
 
-    def begin(self, grace_s: float) -> None:
-        """Start the grace period and shorten the timeouts that exceed it."""
+    def begin(self, grace_s: float, signalled_at: float) -> None:
+        """Start the grace period and shorten the timeouts that exceed it.
+
+        It counts from the time of the signal. If little of it is left, half
+        of that is for what has arrived but has not been read yet, and for the
+        replies; the rest is for closing connections.
+        """
         now = self.clock.monotonic()
-        self.accepts_until = now + ACCEPT_S
-        self.closes_at = now + grace_s - CLOSE_RESERVE_S
-        self.replies_until = self.closes_at - REPLY_RESERVE_S
+        end = signalled_at + grace_s
+        left_s = max(end - now, LEAST_S)
+        self.closes_at = max(end - CLOSE_RESERVE_S, now + left_s / 2)
+        self.replies_until = max(
+            self.closes_at - REPLY_RESERVE_S, now + left_s / 4
+        )
+        self.accepts_until = min(signalled_at + ACCEPT_S, self.replies_until)
+        self.listens_until = min(now + ACCEPT_S, self.replies_until)
+        self._shorten_timeouts(now)
+
+    def _shorten_timeouts(self, now: float) -> None:
         end = asyncio.get_running_loop().time() + self.replies_until - now
         # asyncio refuses to move a timeout that was reached in this moment.
         for timeout in self.timeouts:
--- a/pomelobend/signals.py
+++ b/pomelobend/signals.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import signal
+import time
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -18,11 +19,11 @@
 
 HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-_held: list[int] = []
+_held: list[tuple[int, float]] = []
 
 _loop: asyncio.AbstractEventLoop | None = None
 
-_handle: abc.Callable[[int], None] | None = None
+_handle: abc.Callable[[int, float], None] | None = None
 
 
 def hold() -> None:
@@ -32,9 +33,14 @@
 
 
 def deliver(
-    loop: asyncio.AbstractEventLoop, handle: abc.Callable[[int], None]
+    loop: asyncio.AbstractEventLoop,
+    handle: abc.Callable[[int, float], None],
 ) -> None:
-    """Call a function in an event loop for each signal, held ones first."""
+    """Call a function in an event loop for each signal, held ones first.
+
+    It gets the number and the time at which the signal came, by the clock of
+    ``clock.SystemClock.monotonic``.
+    """
     global _loop, _handle
     _loop, _handle = loop, handle
     for _ in tuple(_held):
@@ -58,11 +64,11 @@
 
 
 def _receive(number: int, _frame: types.FrameType | None) -> None:
-    _held.append(number)
+    _held.append((number, time.clock_gettime(time.CLOCK_BOOTTIME)))
     if _loop is not None:
         _loop.call_soon_threadsafe(_deliver_next)
 
 
 def _deliver_next() -> None:
     if _held and _handle is not None:
-        _handle(_held.pop(0))
+        _handle(*_held.pop(0))
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -31,3 +31,21 @@
     Given a node that has received SIGTERM with a grace period of 6 s
     When the grace period begins while a call of 0.5 s reaches its limit beside one of 9 s
     Then the callers are replied to 0.5 s and 5.8 s after they came
+
+  # Guards against a grace period that begins when SIGTERM is handled: the
+  # process would be killed before it has replied.
+  Scenario Outline: SIGTERM is handled <late_s> s late
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When SIGTERM is handled <late_s> s late while a call of 9 s waits
+    Then its caller is replied to <reply_s> s after SIGTERM
+    And calls of any length are accepted until <accepts_s> s, connections until <listens_s> s, and closed <closes_s> s after SIGTERM
+
+    Examples:
+      | late_s | accepts_s | listens_s | reply_s | closes_s |
+      | 0.0    | 2.5       | 2.5       | 5.3     | 5.4      |
+      | 1.2    | 2.5       | 3.7       | 5.3     | 5.4      |
+      | 3.0    | 2.5       | 5.3       | 5.3     | 5.4      |
+      | 5.0    | 2.5       | 5.4       | 5.4     | 5.5      |
+      | 5.6    | 2.5       | 5.7       | 5.7     | 5.8      |
+      | 5.9    | 2.5       | 5.95      | 5.95    | 6.0      |
+      | 7.0    | 2.5       | 7.05      | 7.05    | 7.1      |
--- a/tests/mesh/test_mesh_signals.feature
+++ b/tests/mesh/test_mesh_signals.feature
@@ -13,3 +13,18 @@
     And nodes n1 n2 n3 n4 n5 in selfoss
     When 20 stops are made by signals of drawn kinds and gaps, with seed 38
     Then every node has ended with 0
+
+  # Guards against a grace period that begins when SIGTERM is handled: the
+  # process would be killed before it has replied.
+  Scenario Outline: a node that is <state> for 1.2 s when it gets SIGTERM replies in time
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a node gets a call of 9 s and then SIGTERM while it is <state> for 1.2 s
+    Then the call receives a complete answer
+    And the call was held until the last second of the grace period
+    And the node has exited within its grace period
+
+    Examples:
+      | state        |
+      | being loaded |
+      | held up      |
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -30,10 +30,16 @@
     context.run(create())
 
 
+def begin(context: typing.Any, late_s: float = 0.0) -> None:
+    """Begin the grace period, late after SIGTERM."""
+    signalled_at = context.clock.monotonic() - late_s
+    context.grace.begin(context.grace_s, signalled_at)
+
+
 @behave.when('a call comes after {came_s:g} s that ends within {left_s:g} s')
 def when_comes(context: typing.Any, came_s: float, left_s: float) -> None:
     async def act() -> None:
-        context.grace.begin(context.grace_s)
+        begin(context)
         await asyncio.sleep(came_s)
         try:
             context.grace.check(context.clock.monotonic() + left_s)
@@ -70,7 +76,7 @@
     async def act() -> None:
         started = context.clock.monotonic()
         context.loop.call_later(
-            short_s, context.loop.call_soon, context.grace.begin, 6
+            short_s, context.loop.call_soon, begin, context
         )
         ended = await asyncio.gather(
             wait(context, started + short_s), wait(context, started + long_s)
@@ -98,11 +104,11 @@
     async def act() -> None:
         started = context.clock.monotonic()
         if when == 'after it':
-            context.grace.begin(context.grace_s)
+            begin(context)
         waiting = asyncio.create_task(wait(context, started + deadline_s))
         await asyncio.sleep(0)
         if when == 'before it':
-            context.grace.begin(context.grace_s)
+            begin(context)
         context.replied_s = await waiting - started
         assert not context.grace.timeouts
 
@@ -112,3 +118,39 @@
 @behave.then('its caller is replied to {reply_s:g} s after SIGTERM')
 def then_replied(context: typing.Any, reply_s: float) -> None:
     assert abs(context.replied_s - reply_s) <= TIMER_SLACK_S, context.replied_s
+
+
+@behave.when('SIGTERM is handled {late_s:g} s late while a call of 9 s waits')
+def when_handled_late(context: typing.Any, late_s: float) -> None:
+    async def act() -> None:
+        signalled_at = context.clock.monotonic()
+        waiting = asyncio.create_task(wait(context, signalled_at + 9))
+        await asyncio.sleep(late_s)
+        begin(context, late_s)
+        grace = context.grace
+        context.accepts_s = grace.accepts_until - signalled_at
+        context.listens_s = grace.listens_until - signalled_at
+        context.replied_s = await waiting - signalled_at
+        context.closes_s = grace.closes_at - signalled_at
+        for left_s in (0.01, 9.0):
+            try:
+                grace.check(context.clock.monotonic() + left_s)
+            except errors.CallRefusedError:
+                continue
+            raise AssertionError(f'accepted with {left_s} s left')
+
+    context.run(act())
+
+
+@behave.then(
+    'calls of any length are accepted until {accepts_s:g} s, connections '
+    'until {listens_s:g} s, and closed {closes_s:g} s after SIGTERM'
+)
+def then_ends(
+    context: typing.Any, accepts_s: float, listens_s: float, closes_s: float
+) -> None:
+    found = (context.accepts_s, context.listens_s, context.closes_s)
+    for one, expected in zip(
+        found, (accepts_s, listens_s, closes_s), strict=True
+    ):
+        assert abs(one - expected) <= TIMER_SLACK_S, found
--- a/tests/steps/test_mesh_signals.py
+++ b/tests/steps/test_mesh_signals.py
@@ -5,14 +5,18 @@
 import asyncio
 import collections
 import itertools
+import os
 import pathlib
 import random
 import signal
+import time
 import typing
 
+import attrs
 import behave
 
 from standins import fleet
+from standins import mesh
 from tests.steps import test_mesh_stop as stop_steps
 
 KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -21,6 +25,24 @@
 START_S = 20.0
 STOP_S = 12.0
 POLL_S = 0.002
+SETTLE_S = 0.3
+NODE = stop_steps.NODE
+LONG = stop_steps.Request('long', NODE, work_s=9.0, deadline_s=9.0)
+
+SLOW_IMPORT = """
+import importlib.abc
+import sys
+import time
+
+
+class Finder(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == 'pomelobend.mesh.node':
+            time.sleep({hold_s})
+
+
+sys.meta_path.insert(0, Finder())
+"""
 
 
 def handles(pid: int, kind: signal.Signals) -> bool:
@@ -111,3 +133,79 @@
     lost = [request for request in ran if not request.status]
     assert ran
     assert not lost, (len(ran), lost)
+
+
+async def hold_up(context: typing.Any, hold_s: float) -> asyncio.StreamReader:
+    """Send a call, then SIGTERM while a reload holds up the event loop."""
+    reader, writer = await stop_steps.connect(context, NODE)
+    writer.write(LONG.encode())
+    await asyncio.sleep(SETTLE_S)
+    path = context.fleet.folder / f'{NODE}.json'
+    settings = path.read_bytes()
+    path.unlink()
+    os.mkfifo(path)
+    context.mesh.vms[NODE].node.signal(signal.SIGHUP)
+    await asyncio.sleep(SETTLE_S)
+    stop_steps.stop(context, NODE)
+    await asyncio.sleep(hold_s)
+    await asyncio.to_thread(path.write_bytes, settings)
+    return reader
+
+
+async def load_slowly(
+    context: typing.Any, hold_s: float
+) -> asyncio.StreamReader:
+    """Send a call and SIGTERM to a node that has just been started."""
+    node = context.mesh.vms[NODE].node
+    node.signal(signal.SIGKILL)
+    await node.wait(STOP_S)
+    folder = context.fleet.folder / 'slow'
+    folder.mkdir()
+    text = SLOW_IMPORT.format(hold_s=hold_s)
+    (folder / 'sitecustomize.py').write_text(text)
+    context.mesh.start_node(NODE, PYTHONPATH=str(folder))
+    async with asyncio.timeout(START_S):
+        while True:
+            try:
+                reader, writer = await stop_steps.connect(context, NODE)
+                break
+            except OSError:
+                await asyncio.sleep(POLL_S)
+    writer.write(LONG.encode())
+    stop_steps.stop(context, NODE)
+    return reader
+
+
+_STATES = {'being loaded': load_slowly, 'held up': hold_up}
+
+
+async def kill_later(context: typing.Any) -> None:
+    """Kill the node at the end of its grace period, as the platform does."""
+    end = context.stopped_at + mesh.BOUNDS['grace_s']
+    await asyncio.sleep(end - time.monotonic())
+    context.mesh.vms[NODE].node.signal(signal.SIGKILL)
+
+
+@behave.when(
+    'a node gets a call of 9 s and then SIGTERM while it is {state} for '
+    '{hold_s:g} s'
+)
+def when_late(context: typing.Any, state: str, hold_s: float) -> None:
+    async def act() -> None:
+        context.request = attrs.evolve(LONG)
+        reader = await _STATES[state](context, hold_s)
+        killing = asyncio.create_task(kill_later(context))
+        await stop_steps.receive(context.request, reader)
+        context.replied_at = time.monotonic()
+        context.code = await context.mesh.vms[NODE].node.wait(STOP_S)
+        context.ended_at = time.monotonic()
+        await killing
+
+    context.run(act())
+
+
+@behave.then('the call was held until the last second of the grace period')
+def then_held(context: typing.Any) -> None:
+    left_s = context.stopped_at + mesh.BOUNDS['grace_s'] - context.replied_at
+    assert 0 < left_s < 1, left_s
+    assert context.code == 0, context.code
