Stop: the failure of a step does not end the calls in flight

Callers saw: the calls on a node that stops end without an answer, all at once, and the node exits with 1. Cause: Node.stop was a plain sequence; an exception in announcing, the goodbye, or closing listeners and idle connections ended the program.

Evidence: a scenario with real processes in which one step is made to fail. That a step has failed for users is not known.

The stop of the program for documents (app.py) is unchanged.

--- a/tests/mesh/test_mesh_signals.feature
+++ b/tests/mesh/test_mesh_signals.feature
@@ -28,3 +28,20 @@
       | state        |
       | being loaded |
       | held up      |
+
+  # Guards against a step of the stop whose failure ends the calls in flight.
+  Scenario Outline: a node that fails to <step> while it stops finishes its calls
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a node that fails to <step> gets a call of 3.5 s and then SIGTERM
+    Then the call receives a complete answer
+    And the node has exited within its grace period
+    And the node has ended with 0 and logged the failure of a step
+
+    Examples:
+      | step                   |
+      | announce its state     |
+      | say goodbye            |
+      | stop listening         |
+      | close idle connections |
+      | deregister             |
--- a/tests/steps/test_mesh_signals.py
+++ b/tests/steps/test_mesh_signals.py
@@ -17,6 +17,7 @@
 
 from standins import fleet
 from standins import mesh
+from tests.steps import test_mesh_path as path_steps
 from tests.steps import test_mesh_stop as stop_steps
 
 KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -29,7 +30,7 @@
 NODE = stop_steps.NODE
 LONG = stop_steps.Request('long', NODE, work_s=9.0, deadline_s=9.0)
 
-SLOW_IMPORT = """
+SITE_TEXT = """
 import importlib.abc
 import sys
 import time
@@ -38,7 +39,7 @@
 class Finder(importlib.abc.MetaPathFinder):
     def find_spec(self, name, path, target=None):
         if name == 'pomelobend.mesh.node':
-            time.sleep({hold_s})
+            {statement}
 
 
 sys.meta_path.insert(0, Finder())
@@ -152,6 +153,15 @@
     return reader
 
 
+def start_modified(context: typing.Any, statement: str) -> None:
+    """Start a node that runs a statement in the middle of its imports."""
+    folder = context.fleet.folder / 'site'
+    folder.mkdir()
+    text = SITE_TEXT.format(statement=statement)
+    (folder / 'sitecustomize.py').write_text(text)
+    context.mesh.start_node(NODE, PYTHONPATH=str(folder))
+
+
 async def load_slowly(
     context: typing.Any, hold_s: float
 ) -> asyncio.StreamReader:
@@ -159,11 +169,7 @@
     node = context.mesh.vms[NODE].node
     node.signal(signal.SIGKILL)
     await node.wait(STOP_S)
-    folder = context.fleet.folder / 'slow'
-    folder.mkdir()
-    text = SLOW_IMPORT.format(hold_s=hold_s)
-    (folder / 'sitecustomize.py').write_text(text)
-    context.mesh.start_node(NODE, PYTHONPATH=str(folder))
+    start_modified(context, f'time.sleep({hold_s})')
     async with asyncio.timeout(START_S):
         while True:
             try:
@@ -209,3 +215,58 @@
     left_s = context.stopped_at + mesh.BOUNDS['grace_s'] - context.replied_at
     assert 0 < left_s < 1, left_s
     assert context.code == 0, context.code
+
+
+STEPS = {
+    'announce its state': 'mesh.control:Control.publish',
+    'say goodbye': 'peers.pool:Pool.send_goodbye',
+    'stop listening': 'http.server:Server.stop_listening',
+    'close idle connections': 'http.server:Server.close_idle',
+    'deregister': 'mesh.registry:Registry.deregister',
+}
+
+
+def failing(step: str) -> str:
+    """Return a statement that makes a step of the stop fail."""
+    module, _, attribute = STEPS[step].partition(':')
+    return (
+        f'from tests import failing_step; '
+        f'failing_step.install("pomelobend.{module}", "{attribute}")'
+    )
+
+
+@behave.when(
+    'a node that fails to {step} gets a call of {work_s:g} s and then SIGTERM'
+)
+def when_step_fails(context: typing.Any, step: str, work_s: float) -> None:
+    vm = context.mesh.vms[NODE]
+    context.request = stop_steps.Request('step', NODE, work_s=work_s)
+    context.request.deadline_s = 2 * work_s
+
+    async def act() -> None:
+        vm.node.signal(signal.SIGKILL)
+        await vm.node.wait(STOP_S)
+        start_modified(context, failing(step))
+        await context.mesh.wait_until_serving(
+            [NODE], path_steps.LOOKUP, START_S
+        )
+        reader, writer = await stop_steps.connect(context, NODE)
+        writer.write(context.request.encode())
+        await asyncio.sleep(SETTLE_S)
+        await context.mesh.post_control(
+            vm.addresses['app'], 'change', state='draining'
+        )
+        await asyncio.sleep(SETTLE_S)
+        stop_steps.stop(context, NODE)
+        await stop_steps.receive(context.request, reader)
+        context.code = await vm.node.wait(STOP_S)
+        context.ended_at = time.monotonic()
+
+    context.run(act())
+
+
+@behave.then('the node has ended with 0 and logged the failure of a step')
+def then_logged(context: typing.Any) -> None:
+    log = context.mesh.vms[NODE].node.log.read_text()
+    assert context.code == 0, context.code
+    assert 'node: step of the stop failed' in log, log[-2000:]
