--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -34,3 +34,12 @@
     When a node gets SIGTERM while a caller reads 16 MiB from it at 4 MiB/s
     Then the caller has received the whole answer
     And the node has exited within its grace period
+
+  # Guards against a node that drops its answers to another node, which is held
+  # up for a moment, at its end.
+  Scenario: answers of a node that stops reach a node that is held up
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When 6 bookings with answers of 250000 bytes end at a node that stops while the callers' node is held up for 0.6 s
+    Then each of them has received the answer of its target
+    And the node has exited within its grace period
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -26,8 +26,10 @@
 from tests.steps import test_peers_pool as pool_steps
 
 NODE = 'vik-t1'
+BOOKING_NODE = 'vik-s'
 VERSION = 9
 WORK_S = 3.0
+LATE_WORK_S = 2.9
 CALL_S = 3.5
 EXIT_S = 8.0
 CALLERS = 6
@@ -417,3 +419,55 @@
 @behave.then('the caller has received the whole answer')
 def then_whole_answer(context: typing.Any) -> None:
     assert context.received >= context.expected, context.received
+
+
+@behave.when(
+    '{count:d} bookings with answers of {size:d} bytes end at a node that'
+    " stops while the callers' node is held up for {held_s:g} s"
+)
+def when_held_up(
+    context: typing.Any, count: int, size: int, held_s: float
+) -> None:
+    """Hold up the callers' node shortly before the calls end."""
+    context.requests = [
+        Request(
+            f'booking-{number}',
+            NODE,
+            'POST',
+            '/booking/a',
+            work_s=LATE_WORK_S,
+            deadline_s=9,
+            answer_bytes=size,
+        )
+        for number in range(count)
+    ]
+
+    async def send(request: Request) -> None:
+        reader, writer = await connect(context, NODE)
+        writer.write(request.encode())
+        await receive(request, reader)
+
+    async def act() -> None:
+        callers = [
+            asyncio.create_task(send(request)) for request in context.requests
+        ]
+        await asyncio.sleep(0.3)
+        stop(context, BOOKING_NODE)
+        await asyncio.sleep(LATE_WORK_S - 0.5)
+        context.mesh.vms[NODE].node.signal(signal.SIGSTOP)
+        await asyncio.sleep(held_s)
+        context.mesh.vms[NODE].node.signal(signal.SIGCONT)
+        await context.mesh.vms[BOOKING_NODE].node.wait(EXIT_S)
+        context.ended_at = time.monotonic()
+        await asyncio.gather(*callers)
+        context.runs = await runs(context)
+
+    context.run(act())
+
+
+@behave.then('each of them has received the answer of its target')
+def then_all_succeeded(context: typing.Any) -> None:
+    wrong = collections.Counter(
+        request.status for request in context.requests if request.status != 200
+    )
+    assert not wrong, wrong
