Peers: a call that may not be repeated waits for a silent node

Callers of a route that is not idempotent got 502 when the node at the target was held up for somewhat over a second (paused, or short of processor time), though the target ran the call.

Cause: Connection._check_silence ended the connection when a ping was 0.65 s overdue, and with it all calls in both directions. A node that was held up for over 2.2 s did the same to its own callers once it ran again, and cancelled what it served.

Fix: a silent connection is given up at the same moment as before: it takes no calls, the listeners for lost connections are called (directory, feed, links between domains), calls that are idempotent fail and are sent to other nodes, those served are cancelled and the other end is told. Calls that are not idempotent wait on it, at both ends, until their deadlines or the end of the link. It carries nothing else; a node that is back is connected to anew, and the old connection is closed 1 s after the last deadline. It stays among the connections of the pool, so a stop waits for what it serves and closes it.

Two connections to one process may now exist for some seconds.

What callers gain and lose: the answer where the node is back before the deadline; where it is dead without a reset, 504 at the deadline in place of 502 after about 1 s. Neither allows them to send again.

--- a/pomelobend/peers/options.py
+++ b/pomelobend/peers/options.py
@@ -25,12 +25,13 @@
     heartbeat : datetime.timedelta
         Interval of heartbeats in each direction.
     silence : datetime.timedelta
-        Time without messages after which a connection is closed.
+        Time without messages after which a connection is given up.
     ping : datetime.timedelta
         Time without messages after which a node with a pending request asks
         its peer for a heartbeat.
     answer : datetime.timedelta
-        Timeout for a requested heartbeat, after which a connection is closed.
+        Timeout for a requested heartbeat, after which a connection is given
+        up.
     connect : datetime.timedelta
         Timeout for connecting to a node, and for the handshake.
     message_bytes : int
--- /dev/null
+++ b/tests/peers/test_peers_finishing.feature
@@ -0,0 +1,48 @@
+Feature: calls on a connection to a silent node
+
+  Scenario: a call that may not be repeated waits for a peer that was silent
+    Given two connected nodes and a call of each kind with a deadline of 5 s
+    When the peer stops responding
+    Then the connection is given up within 1.3 s
+    And only the call that may be repeated has failed
+    And the connection takes no new calls
+    When the peer answers and requests objects
+    Then the call that may not be repeated has its answer
+    And only messages of calls have been handled
+
+  Scenario: calls of a peer that stays silent end by their deadline
+    Given two connected nodes and a call of each kind with a deadline of 2 s
+    When the peer stops responding
+    Then the connection is given up within 1.3 s
+    And the connection is closed within 2.2 s
+    And both calls have failed
+
+  Scenario: calls of a silent peer end with the link
+    Given two connected nodes and a call of each kind with a deadline of 5 s
+    When the peer stops responding
+    Then the connection is given up within 1.3 s
+    When the link ends
+    Then the connection is closed within 0.1 s
+    And both calls have failed
+
+  Scenario: the last answer does not end a connection that was given up
+    Given two connected nodes and a call of each kind with a deadline of 5 s
+    When the peer stops responding
+    Then the connection is given up within 1.3 s
+    When the peer answers and requests objects
+    Then the connection still serves calls 0.6 s later
+
+  Scenario: calls from a silent node
+    Given two connected nodes and served calls of each kind
+    When the peer stops responding
+    Then the connection is given up within 2.9 s
+    And only the served call that may be repeated was cancelled
+    And the peer was told of the call that was cancelled only
+
+  Scenario: a silent node is lost for all but the calls that wait for it
+    Given two nodes of which one gives up the other after 0.4 s
+    When a call that may not be repeated waits for a node that reads nothing
+    Then the connection is reported lost once within 1.3 s
+    And new calls use another connection once the node reads again
+    And the call on the first connection has its answer
+    And a stop of the node closes both connections
--- /dev/null
+++ b/tests/steps/test_peers_finishing.py
@@ -0,0 +1,312 @@
+"""Steps for connections that wait for calls of a silent node."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import time
+import typing
+
+import attrs
+import behave
+
+from pomelobend import clock as clocks
+from pomelobend import errors
+from pomelobend.peers import codec
+from pomelobend.peers import connection as connections
+from pomelobend.peers import messages
+from pomelobend.peers import options
+from pomelobend.peers import stream as streams
+from standins import fleet
+from tests.steps import test_peers_pool as pool_steps
+from tests.steps import test_peers_silence as silence_steps
+
+ADDRESS = '127.0.0.1:1'
+SERVED = {True: 2, False: 4}
+LATER = 6
+ANSWER = messages.AnswerStart(0, 200, [], b'bells', True, 1, 0)
+
+
+class RecordingLink(silence_steps.StubLink):
+    """A link to a simulated peer that keeps what was sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[messages.Message] = []
+
+    def send(self, data: bytes) -> None:
+        """Accept a message."""
+        self.sent.append(codec.decode(data))
+        super().send(data)
+
+    def arrive(self, message: messages.Message) -> None:
+        """Let a message of the peer arrive."""
+        self.inbox.put_nowait(codec.encode(message))
+
+
+class Handler:
+    """Serves calls until they are cancelled, and keeps other messages."""
+
+    def __init__(self) -> None:
+        self.cancelled: list[int] = []
+        self.handled: list[messages.Message] = []
+
+    async def serve(
+        self,
+        connection: connections.Connection,
+        start: messages.CallStart,
+        stream: streams.Stream,
+    ) -> None:
+        """Serve a call without end."""
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(start.call)
+            raise
+
+    def dispatch_message(
+        self, connection: connections.Connection, message: messages.Message
+    ) -> None:
+        """Keep a message."""
+        self.handled.append(message)
+
+
+def connect(context: typing.Any) -> None:
+    """Open a connection to a simulated peer."""
+    own_options = options.Options(
+        ADDRESS,
+        heartbeat=datetime.timedelta(seconds=1),
+        silence=datetime.timedelta(milliseconds=2200),
+        ping=datetime.timedelta(milliseconds=250),
+        answer=datetime.timedelta(milliseconds=650),
+        connect=datetime.timedelta(seconds=1),
+    )
+    hello = messages.Hello(messages.PROTOCOL_VERSION, 'n2', 1, 'vik', ADDRESS)
+    context.link = RecordingLink()
+    context.handler = Handler()
+    context.connection = connections.Connection(
+        context.link,
+        hello,
+        True,
+        context.handler,
+        own_options,
+        clocks.SystemClock(),
+    )
+    task = asyncio.create_task(context.connection.run())
+    context.stack.push_async_callback(end, context.link, task)
+
+
+async def end(link: RecordingLink, task: asyncio.Task) -> None:
+    """End a connection and wait until its tasks have ended."""
+    link.abort()
+    await task
+    await asyncio.sleep(0)
+
+
+def start_of(number: int, *, is_idempotent: bool) -> messages.CallStart:
+    """Return the start of a call."""
+    return attrs.evolve(
+        pool_steps.call_start(number),
+        is_idempotent=is_idempotent,
+        deadline_ms=5000,
+    )
+
+
+@behave.given(
+    'two connected nodes and a call of each kind with a deadline of '
+    '{deadline_s:d} s'
+)
+def given_calls(context: typing.Any, deadline_s: int) -> None:
+    async def act() -> None:
+        connect(context)
+        await asyncio.sleep(0)
+        connection = context.connection
+        context.repeatable = connection.open_stream()
+        context.unrepeatable = connection.open_stream(
+            connection.clock.monotonic() + deadline_s
+        )
+
+    context.run(act())
+
+
+@behave.given('two connected nodes and served calls of each kind')
+def given_served(context: typing.Any) -> None:
+    async def act() -> None:
+        connect(context)
+        for is_idempotent, number in SERVED.items():
+            context.link.arrive(start_of(number, is_idempotent=is_idempotent))
+        await pool_steps.until(lambda: len(context.connection.serving) == 2)
+
+    context.run(act())
+
+
+@behave.then('the connection is given up within {seconds:f} s')
+def then_given_up(context: typing.Any, seconds: float) -> None:
+    async def wait() -> None:
+        async with asyncio.timeout(seconds):
+            while context.connection.is_usable:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)
+
+    context.run(wait())
+    assert not context.connection.is_closed
+
+
+@behave.then('only the call that may be repeated has failed')
+def then_one_failed(context: typing.Any) -> None:
+    assert context.repeatable.failure
+    assert not context.unrepeatable.failure
+
+
+@behave.then('both calls have failed')
+def then_both_failed(context: typing.Any) -> None:
+    assert context.repeatable.failure
+    assert context.unrepeatable.failure
+
+
+@behave.then('the connection takes no new calls')
+def then_no_calls(context: typing.Any) -> None:
+    assert messages.Goodbye() in context.link.sent
+    try:
+        context.connection.open_stream()
+    except errors.LinkClosedError:
+        return
+    raise AssertionError('a call was started')
+
+
+@behave.when('the peer answers and requests objects')
+def when_back(context: typing.Any) -> None:
+    context.link.arrive(messages.Want('config'))
+    context.link.arrive(attrs.evolve(ANSWER, call=context.unrepeatable.call))
+
+
+@behave.then('the call that may not be repeated has its answer')
+def then_answered(context: typing.Any) -> None:
+    async def receive() -> messages.Message:
+        async with asyncio.timeout(1.0):
+            return await context.unrepeatable.receive()
+
+    assert context.run(receive()).body == b'bells'
+
+
+@behave.then('only messages of calls have been handled')
+def then_none_handled(context: typing.Any) -> None:
+    assert not context.handler.handled, context.handler.handled
+
+
+@behave.then('the connection still serves calls {seconds:f} s later')
+def then_serves(context: typing.Any, seconds: float) -> None:
+    async def act() -> None:
+        await context.unrepeatable.receive()
+        context.connection.close_stream(context.unrepeatable)
+        context.connection.close_stream(context.repeatable)
+        await asyncio.sleep(seconds)
+        context.link.arrive(start_of(LATER, is_idempotent=True))
+        await pool_steps.until(lambda: LATER in context.connection.serving)
+
+    context.run(act())
+
+
+@behave.when('the link ends')
+def when_link_ends(context: typing.Any) -> None:
+    context.link.abort()
+
+
+@behave.then('only the served call that may be repeated was cancelled')
+def then_one_cancelled(context: typing.Any) -> None:
+    assert context.handler.cancelled == [SERVED[True]]
+    assert list(context.connection.serving) == [SERVED[False]]
+
+
+@behave.then('the peer was told of the call that was cancelled only')
+def then_told(context: typing.Any) -> None:
+    told = [
+        message.call
+        for message in context.link.sent
+        if type(message) is messages.Broken
+    ]
+    assert told == [SERVED[True]], told
+
+
+@behave.given('two nodes of which one gives up the other after {seconds:f} s')
+def given_pools(context: typing.Any, seconds: float) -> None:
+    async def act() -> None:
+        addresses = [f'127.0.0.1:{port}' for port in fleet.free_ports(2)]
+        context.address = addresses[1]
+        context.dialling = pool_steps.open_pool('n1', addresses[0])
+        context.dialling.options = attrs.evolve(
+            context.dialling.options,
+            ping=datetime.timedelta(milliseconds=100),
+            answer=datetime.timedelta(seconds=seconds),
+        )
+        context.lost = []
+        context.dialling.on_close.append(
+            lambda connection: context.lost.append(
+                (connection, time.monotonic())
+            )
+        )
+        context.accepting = pool_steps.open_pool('n2', addresses[1])
+        await context.accepting.listen()
+        context.first = await context.dialling.get(addresses[1])
+        await pool_steps.until(context.accepting.all)
+        (context.accepted,) = context.accepting.all()
+
+    context.run(act())
+
+
+@behave.when(
+    'a call that may not be repeated waits for a node that reads nothing'
+)
+def when_reads_nothing(context: typing.Any) -> None:
+    async def act() -> None:
+        deadline = time.monotonic() + 3.0
+        context.stream = context.first.open_stream(deadline)
+        context.first.send(start_of(context.stream.call, is_idempotent=False))
+        await pool_steps.until(lambda: context.accepted.serving)
+        transport = context.accepted.link.transport
+        transport.underlying_transport.pause_reading()
+        context.silent_at = time.monotonic()
+
+    context.run(act())
+
+
+@behave.then('the connection is reported lost once within {seconds:f} s')
+def then_reported(context: typing.Any, seconds: float) -> None:
+    context.run(pool_steps.until(lambda: context.lost))
+    ((connection, lost_at),) = context.lost
+    assert connection is context.first
+    assert lost_at - context.silent_at < seconds
+
+
+@behave.then('new calls use another connection once the node reads again')
+def then_other(context: typing.Any) -> None:
+    async def act() -> None:
+        transport = context.accepted.link.transport
+        transport.underlying_transport.resume_reading()
+        context.second = await context.dialling.get(context.address)
+        await pool_steps.until(lambda: context.accepted.is_draining)
+
+    context.run(act())
+    assert context.second is not context.first
+
+
+@behave.then('the call on the first connection has its answer')
+def then_first_answered(context: typing.Any) -> None:
+    async def act() -> messages.Message:
+        context.accepting.handler.is_released.set()
+        async with asyncio.timeout(1.0):
+            return await context.stream.receive()
+
+    assert type(context.run(act())) is messages.Refused
+
+
+@behave.then('a stop of the node closes both connections')
+def then_both_closed(context: typing.Any) -> None:
+    async def act() -> None:
+        assert set(context.dialling.all()) == {context.first, context.second}
+        await context.dialling.close()
+        await pool_steps.until(lambda: not context.dialling.all())
+        await context.accepting.close()
+
+    context.run(act())
+    assert [c for c, _ in context.lost] == [context.first, context.second]
