--- a/tests/steps/test_mesh_directory.py
+++ b/tests/steps/test_mesh_directory.py
@@ -64,6 +64,20 @@
     announce(context, context.older, context.record)
 
 
+@behave.when('it announces a record on the newer connection')
+def when_announced_once(context: typing.Any) -> None:
+    context.record = attrs.evolve(RECORD, sequence=8, slots=6)
+    announce(context, context.newer, context.record)
+
+
+@behave.when(
+    'an older record arrives on the older connection, which is still usable'
+)
+def when_late(context: typing.Any) -> None:
+    context.older.is_draining = False
+    announce(context, context.older, RECORD)
+
+
 @behave.when('the older connection waits for calls of a silent node')
 def when_finishing(context: typing.Any) -> None:
     context.older.was_silent = context.older.is_finishing = True
