--- a/pomelobend/signals.py
+++ b/pomelobend/signals.py
@@ -3,12 +3,13 @@
 The handlers are set once and are never taken back, as a signal without a
 handler ends the process with all of its calls. An event loop takes its own
 handlers away when it is closed, so they are not used. The module imports next
-to nothing, as the time until the handlers are set counts.
+to nothing, as the time until the handlers are set counts: ``signal`` would
+load ``enum``.
 """
 
 from __future__ import annotations
 
-import signal
+import _signal as signal
 import time
 
 TYPE_CHECKING = False
--- a/tests/mesh/test_mesh_signals.feature
+++ b/tests/mesh/test_mesh_signals.feature
@@ -45,3 +45,15 @@
       | stop listening         |
       | close idle connections |
       | deregister             |
+
+  # Guards against a signal that ends a node while Python still looks for its
+  # modules.
+  Scenario Outline: a node that gets <signal> during the start of Python <result>
+    Given a mesh with two targets of a service in each of two domains
+    When a node whose start of Python takes 3 s gets <signal> 1 s after its start
+    Then the node <result>
+
+    Examples:
+      | signal  | result                |
+      | SIGHUP  | runs on               |
+      | SIGTERM | ends by itself with 0 |
--- a/tests/steps/test_mesh_signals.py
+++ b/tests/steps/test_mesh_signals.py
@@ -155,9 +155,13 @@
 
 def start_modified(context: typing.Any, statement: str) -> None:
     """Start a node that runs a statement in the middle of its imports."""
+    start_with_site(context, SITE_TEXT.format(statement=statement))
+
+
+def start_with_site(context: typing.Any, text: str) -> None:
+    """Start a node whose Python runs a text when it looks for modules."""
     folder = context.fleet.folder / 'site'
     folder.mkdir()
-    text = SITE_TEXT.format(statement=statement)
     (folder / 'sitecustomize.py').write_text(text)
     context.mesh.start_node(NODE, PYTHONPATH=str(folder))
 
@@ -270,3 +274,23 @@
     log = context.mesh.vms[NODE].node.log.read_text()
     assert context.code == 0, context.code
     assert 'node: step of the stop failed' in log, log[-2000:]
+
+
+@behave.when(
+    'a node whose start of Python takes {start_s:d} s gets {kind} {after_s:d}'
+    ' s after its start'
+)
+def when_python_starts(
+    context: typing.Any, start_s: int, kind: str, after_s: int
+) -> None:
+    vm = context.mesh.vms[NODE]
+
+    async def act() -> None:
+        vm.node.signal(signal.SIGKILL)
+        await vm.node.wait(STOP_S)
+        start_with_site(context, f'import time\ntime.sleep({start_s})\n')
+        await asyncio.sleep(after_s)
+        vm.node.signal(signal.Signals[kind])
+        await asyncio.sleep(start_s)
+
+    context.run(act())
