--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -13,6 +13,12 @@
       | 2.6    | 2.8    | refused  |
       | 5.0    | 0.5    | refused  |
 
+  # Guards against calls that are accepted when no reply is given any more.
+  Scenario: a call that comes late in a short grace period is refused
+    Given a node that has received SIGTERM with a grace period of 2 s
+    When a call comes after 1.6 s that ends within 9.0 s
+    Then it is refused as far as the grace period goes
+
   Scenario Outline: a caller that waits until <deadline_s> s after SIGTERM is replied to by <reply_s> s
     Given a node that has received SIGTERM with a grace period of 6 s
     When a call that came <when> waits until <deadline_s> s after it
