Peers: a link that stays silent while its node answers is lost

Since callers of a deposit whose connection between nodes was lost without an end waited until their deadline, though the node could be reached over a new connection: 504 target-timeout in place of an earlier 502 peer-lost.

Cause: a connection that waits for calls of a silent node ended only by their deadlines or the end of the link. A link that a proxy or a firewall has dropped does not end.

--- a/tests/peers/test_peers_finishing.feature
+++ b/tests/peers/test_peers_finishing.feature
@@ -46,3 +46,9 @@
     And new calls use another connection once the node reads again
     And the call on the first connection has its answer
     And a stop of the node closes both connections
+
+  Scenario: a link that stays silent while its node answers on another is lost
+    Given two nodes of which one gives up the other after 0.4 s
+    When a call that may not be repeated waits for a node that reads nothing
+    Then the connection is reported lost once within 1.3 s
+    And the call fails within 1.5 s, before its deadline
--- a/tests/steps/test_peers_finishing.py
+++ b/tests/steps/test_peers_finishing.py
@@ -246,14 +246,26 @@
             )
         )
         context.accepting = pool_steps.open_pool('n2', addresses[1])
+        context.accepting.options = attrs.evolve(
+            context.accepting.options, heartbeat=datetime.timedelta(minutes=1)
+        )
         await context.accepting.listen()
         context.first = await context.dialling.get(addresses[1])
         await pool_steps.until(context.accepting.all)
         (context.accepted,) = context.accepting.all()
+        context.stack.push_async_callback(close, context)
 
     context.run(act())
 
 
+async def close(context: typing.Any) -> None:
+    """Close both pools and wait until their connections have ended."""
+    for pool in (context.dialling, context.accepting):
+        await pool.close()
+        await asyncio.gather(*pool.tasks)
+    await asyncio.sleep(0.05)
+
+
 @behave.when(
     'a call that may not be repeated waits for a node that reads nothing'
 )
@@ -290,6 +302,19 @@
     assert context.second is not context.first
 
 
+@behave.then('the call fails within {seconds:f} s, before its deadline')
+def then_call_fails(context: typing.Any, seconds: float) -> None:
+    async def act() -> None:
+        async with asyncio.timeout(seconds):
+            await context.stream.receive()
+
+    try:
+        context.run(act())
+    except errors.LinkClosedError:
+        return
+    raise AssertionError('the call has an answer')
+
+
 @behave.then('the call on the first connection has its answer')
 def then_first_answered(context: typing.Any) -> None:
     async def act() -> messages.Message:
