--- a/tests/peers/test_peers_closing.feature
+++ b/tests/peers/test_peers_closing.feature
@@ -31,3 +31,25 @@
     Given a node with a target and another node with a connection to it
     When the last parts of an answer arrive just before its connection ends
     Then the answer is read to its end
+
+  Scenario Outline: a call that reaches a node as it closes its connections <when> is refused as not run
+    Given a node with a target and another node with a connection to it
+    When a call of the other node reaches the node <when> as it closes its connections
+    Then the call was refused as not run
+    And the target has run no call
+
+    Examples:
+      | when                   |
+      | after its last reading |
+      | in its last reading    |
+
+  Scenario: a call that was taken before the end is not refused as not run
+    Given a node with a target and another node with a connection to it
+    When the node closes its connections while a call of the other node runs
+    Then the call was refused with its outcome unknown
+
+  # Guards against a connection that is opened while the node closes the others.
+  Scenario: a call that opens a connection to a node as it stops is run or refused as not run
+    Given a node with a target and another node with a connection to it
+    When calls of new nodes begin 0 to 6 ms before the node closes its connections
+    Then each call has run or was refused as not run
--- a/tests/steps/test_peers_closing.py
+++ b/tests/steps/test_peers_closing.py
@@ -21,24 +21,30 @@
 from standins import fleet
 from tests.steps import test_peers_pool as pool_steps
 
+if typing.TYPE_CHECKING:
+    from pomelobend.peers import pool as pools
+
 DEADLINE_S = 12.0
 BUFFER_BYTES = 16 * 1024
 STOP_S = 2.5
 
 
 class Guard:
-    """A target that answers each call with a body at once."""
+    """A target that answers each call with a body, by default at once."""
 
     free = 1
     wait_ms = 0
 
     def __init__(self, size: int) -> None:
         self.body = b'a' * size
+        self.work_s = 0.0
         self.runs: list[str] = []
 
     async def run(self, path: str) -> call_values.Answer:
         """Run a call."""
         self.runs.append(path)
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
         return call_values.Answer(200, [], self.body)
 
 
@@ -60,9 +66,16 @@
 
 
 async def send(context: typing.Any, number: int) -> bytes | errors.Run:
+    """Send a call to the node with the target, as ``send_to``."""
+    return await send_to(context.accepting, context.dialling, number)
+
+
+async def send_to(
+    accepting: pools.Pool, dialling: pools.Pool, number: int
+) -> bytes | errors.Run:
     """Send a call; return the body of its answer, or whether it has run."""
-    caller = peer_callers.Caller(context.dialling, clocks.SystemClock())
-    member = members.Member('n2', 1, 0, 'vik', context.accepting.hello.address)
+    caller = peer_callers.Caller(dialling, clocks.SystemClock())
+    member = members.Member('n2', 1, 0, 'vik', accepting.hello.address)
     stats = target_stats.TargetStats(1)
     try:
         answer = await caller.call(new_call(number), member, stats)
@@ -188,3 +201,103 @@
 @behave.then('the answer is read to its end')
 def then_read(context: typing.Any) -> None:
     assert context.body == b'first rest', context.body
+
+
+async def until_reading(context: typing.Any) -> None:
+    """Wait until a message is read that has not been handled yet."""
+    async with asyncio.timeout(STOP_S):
+        while not context.accepted.link.inbox:
+            await asyncio.sleep(0)
+
+
+@behave.when(
+    'a call of the other node reaches the node {when} as it closes its '
+    'connections'
+)
+def when_call_at_end(context: typing.Any, when: str) -> None:
+    async def act() -> None:
+        call = asyncio.create_task(send(context, 1))
+        await asyncio.sleep(0)
+        if when == 'in its last reading':
+            await until_reading(context)
+        await context.accepting.close()
+        context.answer = await call
+
+    context.run(act())
+
+
+@behave.when(
+    'the node closes its connections while a call of the other node runs'
+)
+def when_call_runs(context: typing.Any) -> None:
+    context.guard.work_s = DEADLINE_S
+
+    async def act() -> None:
+        call = asyncio.create_task(send(context, 1))
+        await pool_steps.until(lambda: context.guard.runs)
+        await context.accepting.close()
+        context.answer = await call
+
+    context.run(act())
+
+
+@behave.then('the call was refused as not run')
+def then_not_run(context: typing.Any) -> None:
+    assert context.answer is errors.Run.NOT_RUN, context.answer
+
+
+@behave.then('the call was refused with its outcome unknown')
+def then_unknown(context: typing.Any) -> None:
+    assert context.answer is errors.Run.UNKNOWN, context.answer
+
+
+@behave.then('the target has run no call')
+def then_none_run(context: typing.Any) -> None:
+    assert not context.guard.runs, context.guard.runs
+
+
+async def call_before_end(delay_s: float) -> tuple[typing.Any, int]:
+    """Send a call shortly before a node closes its connections.
+
+    Returns its result and how often it has run.
+    """
+    addresses = [f'127.0.0.1:{port}' for port in fleet.free_ports(2)]
+    dialling = pool_steps.open_pool('n1', addresses[0])
+    accepting = pool_steps.open_pool('n2', addresses[1])
+    guard = Guard(10)
+    accepting.handler = callees.Callee(guard, lambda start, _: start.path)
+    await accepting.listen()
+    call = asyncio.create_task(send_to(accepting, dialling, 1))
+    await asyncio.sleep(delay_s)
+    while accepting.in_flight:
+        await asyncio.sleep(0)
+    await accepting.close()
+    answer = await call
+    await dialling.close()
+    return answer, len(guard.runs)
+
+
+@behave.when(
+    'calls of new nodes begin 0 to {most_ms:d} ms before the node closes its '
+    'connections'
+)
+def when_calls_at_end(context: typing.Any, most_ms: int) -> None:
+    async def act() -> None:
+        context.found = [
+            await call_before_end(step / 10_000)
+            for step in range(10 * most_ms)
+        ]
+
+    context.run(act())
+
+
+@behave.then('each call has run or was refused as not run')
+def then_run_or_refused(context: typing.Any) -> None:
+    wrong = [
+        answer
+        for answer, runs in context.found
+        if not runs and answer is not errors.Run.NOT_RUN
+    ]
+    assert not wrong, f'{len(wrong)} of {len(context.found)}'
+    assert any(runs for _, runs in context.found)
+    assert not all(runs for _, runs in context.found)
