Node: a store that does not answer holds no stop beyond the grace period

What callers saw: with real processes and a grace period of 6 s, a node whose target drains and whose last call ends with the grace period ran until 6.9 s after SIGTERM while the store did not answer. A platform kills it before: its connections to other nodes then end without a closing frame.

Cause: Registry.deregister waited as long as any request to the store, 1.5 s, at whatever time the calls had ended.

--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -43,3 +43,11 @@
     When 6 bookings with answers of 250000 bytes end at a node that stops while the callers' node is held up for 0.6 s
     Then each of them has received the answer of its target
     And the node has exited within its grace period
+
+  Scenario: a store that does not answer holds no stop beyond the grace period
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When the store is held up and a node with a draining target stops with a call of 9 s
+    Then the call receives a complete answer
+    And the node has exited within its grace period
+    And the node has stopped by itself
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -471,3 +471,38 @@
         request.status for request in context.requests if request.status != 200
     )
     assert not wrong, wrong
+
+
+@behave.when(
+    'the store is held up and a node with a draining target stops with a call'
+    ' of {work_s:d} s'
+)
+def when_store_held_up(context: typing.Any, work_s: int) -> None:
+    request = Request('long', NODE, work_s=work_s, deadline_s=work_s)
+    context.request = request
+
+    async def act() -> None:
+        reader, writer = await connect(context, NODE)
+        writer.write(request.encode())
+        await asyncio.sleep(0.3)
+        address = context.mesh.vms[NODE].addresses['app']
+        await context.mesh.post_control(address, 'change', state='draining')
+        await asyncio.sleep(0.5)
+        hold_up_store(context)
+        stop(context, NODE)
+        await receive(request, reader)
+        context.code = await context.mesh.vms[NODE].node.wait(EXIT_S)
+        context.ended_at = time.monotonic()
+
+    context.run(act())
+
+
+def hold_up_store(context: typing.Any) -> None:
+    """Stop the process of the store for the rest of the scenario."""
+    (store,) = [p for p in context.fleet.processes if p.name == 'store']
+    store.signal(signal.SIGSTOP)
+
+
+@behave.then('the node has stopped by itself')
+def then_exit_code(context: typing.Any) -> None:
+    assert context.code == 0, context.code
