--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soaks: disturbances of real processes under load, judged from outside."""
