--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     result = asyncio.run(
         run.play(args.mix, args.seed, args.seconds, args.nodes, args.keep)
     )
+    print(result.report)
     return 1 if result.problems else 0
 
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -20,7 +20,7 @@
     from soak import world as worlds
 
 GRACE_S = 6.0
-START_S = 30.0
+START_S = 60.0
 DRAIN_S = 12.0
 LOOPS = 6
 LOOP = 'import time\nend = time.time() + {}\nwhile time.time() < end: pass'
@@ -40,11 +40,13 @@
     """Stop a node as the platform does, and start it again."""
     began, node = time.time(), world.vms[name].node
     node.signal(signal.SIGTERM)
+    world.stopping.add(name)
     try:
         code = await node.wait(GRACE_S)
     except TimeoutError:
         node.signal(signal.SIGKILL)
         code = await node.wait(5)
+    world.stopping.discard(name)
     world.exits.append((name, code))
     world.note('term', name, began, f'exit {code}')
     await world.sleep(0, 0.5)
@@ -135,6 +137,14 @@
     world.note('hup', name, time.time())
 
 
+async def hup_stopping(world: worlds.World) -> None:
+    """Send SIGHUP to the nodes that stop."""
+    await world.sleep(0.0, 0.1)
+    for name in sorted(world.stopping):
+        world.vms[name].node.signal(signal.SIGHUP)
+        world.note('hup', name, time.time())
+
+
 async def _configure(world: worlds.World, **limits: int) -> None:
     began, document = time.time(), world.next_document(**limits)
     with contextlib.suppress(aiohttp.ClientError):
--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,92 @@
+"""The report of a soak, with the log lines beside what was lost."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import json
+import typing
+
+from soak import checks
+
+if typing.TYPE_CHECKING:
+    from soak import clients
+    from soak import world as worlds
+
+SHOWN = 4
+NEAR_S = 1.2
+WORDS = ('peers:', 'held up', 'http: conn', 'node: st', 'call failed')
+
+
+def build(
+    world: worlds.World,
+    requests: list[clients.Request],
+    findings: list[checks.Finding],
+    problems: list[str],
+) -> str:
+    """Return the report as text."""
+    statuses = collections.Counter(request.status for request in requests)
+    done = collections.Counter(event.kind for event in world.events)
+    keys = collections.Counter(item.key for item in findings)
+    nested = checks.lost_nested(world)
+    total = sum(len(report['nested']) for _, report in world.reports)
+    lines = [
+        f'{len(requests)} requests, {dict(statuses)}, {dict(done)}',
+        *(f'{count:5d} {key}' for key, count in keys.most_common()),
+        *(f'PROBLEM {text}' for text in sorted(set(problems))),
+        f'{len(nested):5d} calls of targets lost of {total}',
+        *(f'      {vm} {call}' for vm, call in nested[:SHOWN]),
+    ]
+    shown: collections.Counter = collections.Counter()
+    for item in findings:
+        shown[item.key] += 1
+        if shown[item.key] <= SHOWN and item.label not in checks.USUAL:
+            lines += _describe(world, item)
+    return '\n'.join(lines)
+
+
+def _describe(world: worlds.World, item: checks.Finding) -> list[str]:
+    request, base = item.request, item.request.sent_at
+    vms = {request.vm, *(run.vm for run in item.runs)}
+    return [
+        f'-- {item.key}',
+        f'   {request}',
+        f'   last byte {request.last_byte_at - base:+.3f}, '
+        f'end {request.ended_at - base:+.3f}',
+        *(
+            f'   ran at {r.vm} {r.began - base:+.3f} to {r.ended - base:+.3f}'
+            for r in item.runs
+        ),
+        *(
+            f'   {event.kind} {event.vm} {event.began - base:+.3f} to '
+            f'{event.ended - base:+.3f} {event.detail}'
+            for event in checks.events(world, request, vms)
+        ),
+        *_near(world, request, vms),
+    ]
+
+
+def _near(
+    world: worlds.World, request: clients.Request, vms: set[str]
+) -> typing.Iterator[str]:
+    """Yield the lines of logs that name a request or are close to its end."""
+    for vm in world.vms:
+        path = world.processes.folder / f'{vm}.log'
+        for line in path.read_text(errors='replace').splitlines():
+            moment = _time_of(line)
+            is_near = (
+                vm in vms
+                and abs(moment - request.ended_at) < NEAR_S
+                and any(word in line for word in WORDS)
+            )
+            if is_near or f'"{request.identity}"' in line:
+                yield f'   {moment - request.sent_at:+.3f} {vm}: {line[:300]}'
+
+
+def _time_of(line: str) -> float:
+    """Return the Unix time of a line, or 0."""
+    try:
+        stamp = json.loads(line)['timestamp']
+    except (ValueError, KeyError, TypeError):
+        return 0.0
+    return datetime.datetime.fromisoformat(stamp).timestamp()
--- a/tests/steps/test_mesh_soak.py
+++ b/tests/steps/test_mesh_soak.py
@@ -23,7 +23,7 @@
 
 @behave.then('the soak has found no problem')
 def then_no_problem(context: typing.Any) -> None:
-    assert not context.result.problems, run.report(context.result)
+    assert not context.result.problems, context.result.report
 
 
 @behave.then('targets have answered at least nine tenths of its requests')
