--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,11 +12,9 @@
 
 import attrs
 
+from soak import clients
 from soak import world as worlds
 
-if typing.TYPE_CHECKING:
-    from soak import clients
-
 CROSSING_S = 0.2
 """Time after its last byte in which a request may cross a close."""
 
@@ -34,6 +32,7 @@
 FAILURES = (502, 504)
 
 CLOSED_RUN = 'closed after its run'
+EXCUSED_CLOSE = 'closed after its run, excused'
 CLOSED_LATE = 'closed late, not run'
 NO_ANSWER = 'no answer in time'
 CUT = 'own 502/504 after SIGTERM, target at work'
@@ -129,7 +128,8 @@
     if request.status:
         return f'own {request.status}, not run'
     if runs:
-        return CLOSED_RUN
+        stop = _stop_at(world, request)
+        return EXCUSED_CLOSE if _excuses(stop, request) else CLOSED_RUN
     sent_at = request.last_byte_at
     is_late = sent_at and request.ended_at - sent_at > CROSSING_S
     return CLOSED_LATE if is_late else ''
@@ -138,22 +138,36 @@
 def _classify_failure(
     world: worlds.World, request: clients.Request, runs: list[Run]
 ) -> str:
-    ended = request.ended_at
-    stops = [
-        event.began
-        for event in world.events
-        if (event.kind, event.vm) == ('term', request.vm)
-        and event.began <= ended <= event.ended + 1
-    ]
-    if not stops:
+    stop = _stop_at(world, request)
+    if stop is None:
         return ELSEWHERE
-    is_last = ended >= stops[-1] + GRACE_S * 5 / 6
-    if is_last and request.sent_at <= stops[-1] + LATE_SENT_S:
+    if _excuses(stop, request):
         return EXCUSED
+    ended = request.ended_at
     at_work = any(run.ended >= ended or not run.ended for run in runs)
     return CUT if at_work else READY
 
 
+def _stop_at(
+    world: worlds.World, request: clients.Request
+) -> worlds.Event | None:
+    """Return the stop of its node during which a request ended."""
+    for event in world.events:
+        is_own = (event.kind, event.vm) == ('term', request.vm)
+        if is_own and event.began <= request.ended_at <= event.ended + 1:
+            return event
+    return None
+
+
+def _excuses(stop: worlds.Event | None, request: clients.Request) -> bool:
+    """Return whether a request was sent early and lasted too long."""
+    return (
+        stop is not None
+        and request.ended_at >= stop.began + GRACE_S * 5 / 6
+        and request.sent_at <= stop.began + LATE_SENT_S
+    )
+
+
 def kinds(
     world: worlds.World, request: clients.Request, vms: set[str]
 ) -> list[str]:
@@ -175,16 +189,21 @@
     ]
 
 
-def lost_nested(world: worlds.World) -> list[tuple[str, list]]:
-    """Return calls of targets that failed, but not those at a closed port."""
-    return [
-        (vm, call)
-        for vm, report in world.reports
-        for call in report['nested']
-        if call[1] in (0, *FAILURES)
-        and not call[2]
-        and call[4] - call[3] > CROSSING_S / 4
-    ]
+def nested_requests(world: worlds.World) -> list[clients.Request]:
+    """Return the calls of targets through their own nodes."""
+    found = []
+    for vm, report in world.reports:
+        for identity, status, is_signed, sent, ended, limit in report[
+            'nested'
+        ]:
+            request = clients.Request(
+                identity, vm, 'POST', '/booking/nested', 0.0, limit
+            )
+            request.sent_at = request.last_byte_at = sent
+            request.ended_at = ended or sent
+            request.status, request.is_signed = status, is_signed
+            found.append(request)
+    return found
 
 
 def problems(world: worlds.World, findings: list[Finding]) -> list[str]:
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -66,7 +66,9 @@
 
 
 async def _wait_ready(world: worlds.World, name: str) -> None:
+    began = time.time()
     await world.processes.wait_until(lambda: world.is_ready(name), START_S)
+    world.note('start', name, began)
     await asyncio.sleep(1.0)
 
 
@@ -189,7 +191,7 @@
     """Replace a target that has drained at its address by a new one."""
     await world.sleep(0.0, 2.0)
     name = world.random.choice(sorted(world.vms))
-    if name in world.replaced:
+    if name in world.replaced or not world.may_take(name):
         return
     world.replaced.add(name)
     began = time.time()
--- a/soak/report.py
+++ b/soak/report.py
@@ -28,14 +28,10 @@
     statuses = collections.Counter(request.status for request in requests)
     done = collections.Counter(event.kind for event in world.events)
     keys = collections.Counter(item.key for item in findings)
-    nested = checks.lost_nested(world)
-    total = sum(len(report['nested']) for _, report in world.reports)
     lines = [
         f'{len(requests)} requests, {dict(statuses)}, {dict(done)}',
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
-        f'{len(nested):5d} calls of targets lost of {total}',
-        *(f'      {vm} {call}' for vm, call in nested[:SHOWN]),
     ]
     shown: collections.Counter = collections.Counter()
     for item in findings:
--- a/soak/run.py
+++ b/soak/run.py
@@ -97,13 +97,14 @@
         finally:
             for proxy in world.proxies.values():
                 proxy.close()
+        requests += checks.nested_requests(world)
         findings = checks.judge(world, requests)
         problems = checks.problems(world, findings)
         text = f'== {title}, lag {lag_s:.2f} s: ' + reports.build(
             world, requests, findings, problems
         )
         unusual = {item.label for item in findings} - checks.USUAL
-        if keep and (problems or unusual or checks.lost_nested(world)):
+        if keep and (problems or unusual):
             folder = keep / title
             shutil.copytree(processes.folder, folder, dirs_exist_ok=True)
             (folder / 'report.txt').write_text(text)
