--- a/soak/run.py
+++ b/soak/run.py
@@ -94,6 +94,9 @@
             requests, lag_s = await _load(world, mix, seed, seconds)
             for name in world.vms:
                 await world.keep_report(name)
+        except BaseException:
+            _keep(processes, keep, f'{title}-failed')
+            raise
         finally:
             for proxy in world.proxies.values():
                 proxy.close()
@@ -104,13 +107,20 @@
             world, requests, findings, problems
         )
         unusual = {item.label for item in findings} - checks.USUAL
-        if keep and (problems or unusual):
-            folder = keep / title
-            shutil.copytree(processes.folder, folder, dirs_exist_ok=True)
-            (folder / 'report.txt').write_text(text)
+        (processes.folder / 'report.txt').write_text(text)
+        if problems or unusual:
+            _keep(processes, keep, title)
         return Result(requests, findings, problems, text)
 
 
+def _keep(
+    processes: fleet.Fleet, keep: pathlib.Path | None, title: str
+) -> None:
+    """Copy the logs of all processes to a folder, if one is given."""
+    if keep is not None:
+        shutil.copytree(processes.folder, keep / title, dirs_exist_ok=True)
+
+
 async def _load(
     world: worlds.World, mix: Mix, seed: int, seconds: float
 ) -> tuple[list[clients.Request], float]:
