--- a/soak/checks.py
+++ b/soak/checks.py
@@ -190,17 +190,19 @@
 
 
 def nested_requests(world: worlds.World) -> list[clients.Request]:
-    """Return the calls of targets through their own nodes."""
+    """Return the calls of targets to their nodes that have ended."""
     found = []
     for vm, report in world.reports:
         for identity, status, is_signed, sent, ended, limit in report[
             'nested'
         ]:
+            if not ended:
+                continue
             request = clients.Request(
                 identity, vm, 'POST', '/booking/nested', 0.0, limit
             )
             request.sent_at = request.last_byte_at = sent
-            request.ended_at = ended or sent
+            request.ended_at = ended
             request.status, request.is_signed = status, is_signed
             found.append(request)
     return found
