--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,220 @@
+"""What a soak finds, from what its clients and targets have seen.
+
+The classes follow the rules of the users' platform on lost requests. Each
+finding names what was done to the VM that took the request, and to those at
+which it ran, beside it.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import attrs
+
+from soak import clients
+from soak import world as worlds
+
+CROSSING_S = 0.2
+"""Time after its last byte in which a request may cross a close."""
+
+GRACE_S = 6.0
+LATE_SENT_S = 3.0
+GONE_S = 0.5
+STABLE_S = 3.0
+"""Time for which a disturbance counts."""
+
+ALLOWANCE_S = 0.15
+"""Time before a limit from which on it counts as reached."""
+
+UNPLANNED = frozenset({'pause', 'held-up', 'busy', 'reset', 'cut'})
+REFUSALS = (503, 429, 408, 421)
+FAILURES = (502, 504)
+
+CLOSED_RUN = 'closed after its run'
+EXCUSED_CLOSE = 'closed after its run, excused'
+CLOSED_LATE = 'closed late, not run'
+NO_ANSWER = 'no answer in time'
+CUT = 'own 502/504 after SIGTERM, target at work'
+EXCUSED = 'own 502/504 after SIGTERM, excused'
+READY = 'own 502/504 after SIGTERM, target had finished'
+ELSEWHERE = 'own 502/504 after a run'
+LIMIT = 'limit reached'
+TWICE = 'ran twice'
+REFUSED_RUN = 'refused, but ran'
+GONE = 'ran after its client had left'
+
+GRAVE = (CLOSED_RUN, CLOSED_LATE, CUT, READY, TWICE, REFUSED_RUN)
+USUAL = frozenset({EXCUSED, LIMIT})
+"""Classes whose findings are only counted."""
+
+
+class Run(typing.NamedTuple):
+    """A run of a request at the target of a VM, with its Unix times."""
+
+    vm: str
+    began: float
+    ended: float
+
+
+@attrs.define(eq=False)
+class Finding:
+    """A request that was lost, and the kinds of what was done beside it."""
+
+    label: str
+    request: clients.Request
+    runs: list[Run]
+    own: list[str]
+    there: list[str]
+
+    @property
+    def key(self) -> str:
+        """Return the label with what was done beside it."""
+        own, there = ' '.join(self.own), ' '.join(self.there)
+        return f'{self.label} | own: {own} | there: {there}'
+
+    @property
+    def is_grave(self) -> bool:
+        """Return whether a rule may be broken: nothing excuses it."""
+        is_calm = UNPLANNED.isdisjoint(self.own + self.there)
+        is_counted = self.label != CLOSED_LATE or bool(self.own)
+        return self.label in GRAVE and is_calm and is_counted
+
+
+def collect_runs(reports: list[tuple[str, dict]]) -> dict[str, list[Run]]:
+    """Return the runs of each request by its attempt id."""
+    found: dict[str, list[Run]] = collections.defaultdict(list)
+    for vm, report in reports:
+        for identity, spans in report['spans'].items():
+            found[identity] += [Run(vm, *span) for span in spans]
+    return found
+
+
+def judge(
+    world: worlds.World, requests: typing.Iterable[clients.Request]
+) -> list[Finding]:
+    """Return what was lost, with what was done beside it."""
+    found = []
+    all_runs = collect_runs(world.reports)
+    for request in requests:
+        runs = all_runs[request.identity]
+        label = classify(world, request, runs)
+        if label:
+            own = kinds(world, request, {request.vm})
+            there = kinds(world, request, {run.vm for run in runs})
+            found.append(Finding(label, request, runs, own, there))
+    return found
+
+
+def classify(
+    world: worlds.World, request: clients.Request, runs: list[Run]
+) -> str:
+    """Return the class of a request, or '' if nothing was lost."""
+    if request.method == 'POST' and len(runs) > 1:
+        return TWICE
+    if request.is_signed:
+        return ''
+    if request.status in REFUSALS:
+        return REFUSED_RUN if runs and request.method == 'POST' else ''
+    if any(run.began > request.ended_at + GONE_S for run in runs):
+        return GONE
+    limit_s = min(request.deadline_s, worlds.ROUTE_TIMEOUT_MS / 1000)
+    if request.error == 'no answer':
+        return NO_ANSWER
+    if request.ended_at - request.sent_at >= limit_s - ALLOWANCE_S:
+        return LIMIT
+    if request.status in FAILURES and runs:
+        return _classify_failure(world, request, runs)
+    if request.status:
+        return f'own {request.status}, not run'
+    if runs:
+        stop = _stop_at(world, request)
+        return EXCUSED_CLOSE if _excuses(stop, request) else CLOSED_RUN
+    sent_at = request.last_byte_at
+    is_late = sent_at and request.ended_at - sent_at > CROSSING_S
+    return CLOSED_LATE if is_late else ''
+
+
+def _classify_failure(
+    world: worlds.World, request: clients.Request, runs: list[Run]
+) -> str:
+    stop = _stop_at(world, request)
+    if stop is None:
+        return ELSEWHERE
+    if _excuses(stop, request):
+        return EXCUSED
+    ended = request.ended_at
+    at_work = any(run.ended >= ended or not run.ended for run in runs)
+    return CUT if at_work else READY
+
+
+def _stop_at(
+    world: worlds.World, request: clients.Request
+) -> worlds.Event | None:
+    """Return the stop of its node during which a request ended."""
+    for event in world.events:
+        is_own = (event.kind, event.vm) == ('term', request.vm)
+        if is_own and event.began <= request.ended_at <= event.ended + 1:
+            return event
+    return None
+
+
+def _excuses(stop: worlds.Event | None, request: clients.Request) -> bool:
+    """Return whether a request was sent early and lasted too long."""
+    return (
+        stop is not None
+        and request.ended_at >= stop.began + GRACE_S * 5 / 6
+        and request.sent_at <= stop.began + LATE_SENT_S
+    )
+
+
+def kinds(
+    world: worlds.World, request: clients.Request, vms: set[str]
+) -> list[str]:
+    """Return the kinds of what was done to VMs beside a request."""
+    return sorted({event.kind for event in events(world, request, vms)})
+
+
+def events(
+    world: worlds.World, request: clients.Request, vms: set[str]
+) -> list[worlds.Event]:
+    """Return what was done to VMs beside a request."""
+    vms = vms | {worlds.EVERYWHERE} if vms else vms
+    return [
+        event
+        for event in world.events
+        if event.vm in vms
+        and event.began <= request.ended_at
+        and event.ended >= request.sent_at - STABLE_S
+    ]
+
+
+def nested_requests(world: worlds.World) -> list[clients.Request]:
+    """Return the calls of targets to their nodes that have ended."""
+    found = []
+    for vm, report in world.reports:
+        for identity, status, is_signed, sent, ended, limit in report[
+            'nested'
+        ]:
+            if not ended:
+                continue
+            request = clients.Request(
+                identity, vm, 'POST', '/booking/nested', 0.0, limit
+            )
+            request.sent_at = request.last_byte_at = sent
+            request.ended_at = ended
+            request.status, request.is_signed = status, is_signed
+            found.append(request)
+    return found
+
+
+def problems(world: worlds.World, findings: list[Finding]) -> list[str]:
+    """Return what no disturbance excuses."""
+    grave = [item.key for item in findings if item.is_grave]
+    ends = [f'{name} ended with {code}' for name, code in world.exits if code]
+    traces = [
+        f'{name}: traceback in its log'
+        for name in world.vms
+        if 'Traceback' in (world.processes.folder / f'{name}.log').read_text()
+    ]
+    return grave + ends + traces
--- /dev/null
+++ b/soak/disturbances.py
@@ -0,0 +1,222 @@
+"""What is done to the processes of a soak.
+
+Each public function does one thing once; a soak repeats it until it ends.
+All draw from the random numbers of the world.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+import aiohttp
+
+if typing.TYPE_CHECKING:
+    from soak import world as worlds
+
+GRACE_S = 6.0
+START_S = 60.0
+DRAIN_S = 12.0
+LOOPS = 6
+LOOP = 'import time\nend = time.time() + {}\nwhile time.time() < end: pass'
+
+
+@contextlib.contextmanager
+def hold(world: worlds.World) -> typing.Iterator[str]:
+    """Hold a VM for a disturbance; yield '' if none is free."""
+    name = world.pick()
+    try:
+        yield name
+    finally:
+        world.held.discard(name)
+
+
+async def _stop(world: worlds.World, name: str) -> None:
+    """Stop a node as the platform does, and start it again."""
+    began, node = time.time(), world.vms[name].node
+    node.signal(signal.SIGTERM)
+    world.stopping.add(name)
+    try:
+        code = await node.wait(GRACE_S)
+    except TimeoutError:
+        node.signal(signal.SIGKILL)
+        code = await node.wait(5)
+    world.stopping.discard(name)
+    world.exits.append((name, code))
+    world.note('term', name, began, f'exit {code}')
+    await world.sleep(0, 0.5)
+    world.start_node(name)
+
+
+async def _freeze(
+    world: worlds.World, name: str, kind: str, after_s: float, seconds: float
+) -> None:
+    """Give a node no processor time for some seconds."""
+    await asyncio.sleep(after_s)
+    began, node = time.time(), world.vms[name].node
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    node.signal(signal.SIGCONT)
+    world.note(kind, name, began)
+
+
+async def _wait_ready(world: worlds.World, name: str) -> None:
+    began = time.time()
+    await world.processes.wait_until(lambda: world.is_ready(name), START_S)
+    world.note('start', name, began)
+    await asyncio.sleep(1.0)
+
+
+async def stop(world: worlds.World) -> None:
+    """Stop a node, and start it again."""
+    with hold(world) as name:
+        if name:
+            await _stop(world, name)
+            await _wait_ready(world, name)
+
+
+async def stop_early(world: worlds.World) -> None:
+    """Stop a node, and once more while it starts or soon after."""
+    with hold(world) as name:
+        if name:
+            await _stop(world, name)
+            began = time.time()
+            await world.sleep(0.1, 2.0)
+            await _stop(world, name)
+            world.note('early', name, began)
+            await _wait_ready(world, name)
+
+
+async def stop_held_up(world: worlds.World) -> None:
+    """Stop a node that is held up at SIGTERM, or when it closes."""
+    with hold(world) as name:
+        if not name:
+            return
+        rng = world.random
+        after_s = rng.choice((0.0, rng.uniform(2.2, 2.8)))
+        seconds = rng.uniform(0.1, 0.8)
+        task = asyncio.create_task(
+            _freeze(world, name, 'held-up', after_s, seconds)
+        )
+        await world.sleep(0.05, 0.3)
+        await _stop(world, name)
+        await task
+        await _wait_ready(world, name)
+
+
+async def pause(world: worlds.World) -> None:
+    """Hold up a node that does not stop."""
+    seconds = world.random.uniform(0.3, 1.5)
+    with hold(world) as name:
+        if name:
+            await _freeze(world, name, 'pause', 0.2, seconds)
+    await world.sleep(0.2, 2.0)
+
+
+async def busy(world: worlds.World) -> None:
+    """Run processes that take processor time."""
+    began = time.time()
+    code = LOOP.format(world.random.uniform(0.5, 2.5))
+    running = [
+        subprocess.Popen([sys.executable, '-c', code]) for _ in range(LOOPS)
+    ]
+    for process in running:
+        await asyncio.to_thread(process.wait)
+    world.note('busy', '*', began)
+    await world.sleep(0.5, 2.0)
+
+
+async def hup(world: worlds.World) -> None:
+    """Send SIGHUP to a node that is not being disturbed."""
+    await world.sleep(0.2, 1.0)
+    name = world.random.choice(sorted(set(world.vms) - world.held))
+    world.vms[name].node.signal(signal.SIGHUP)
+    world.note('hup', name, time.time())
+
+
+async def hup_stopping(world: worlds.World) -> None:
+    """Send SIGHUP to the nodes that stop."""
+    await world.sleep(0.0, 0.1)
+    for name in sorted(world.stopping):
+        world.vms[name].node.signal(signal.SIGHUP)
+        world.note('hup', name, time.time())
+
+
+async def _configure(world: worlds.World, **limits: int) -> None:
+    began, document = time.time(), world.next_document(**limits)
+    with contextlib.suppress(aiohttp.ClientError):
+        await world.write('config', 'main', document, is_new=False)
+        world.idle_timeout_ms = document['limits']['idle_timeout_ms']
+    world.note('config', '*', began, str(limits or ''))
+
+
+async def configure(world: worlds.World) -> None:
+    """Send up to four configurations within a second."""
+    await world.sleep(1.0, 3.0)
+    for _ in range(world.random.randint(1, 4)):
+        await _configure(world)
+        await world.sleep(0.05, 0.25)
+
+
+async def limit(world: worlds.World) -> None:
+    """Change the idle time of connections."""
+    await world.sleep(1.0, 3.0)
+    idle_ms = world.random.choice((1000, 1500, 2500, 4000))
+    await _configure(world, idle_timeout_ms=idle_ms)
+
+
+async def reset(world: worlds.World) -> None:
+    """Reset the connections to a node, most often one that stops."""
+    await world.sleep(0.5, 4.0)
+    name = world.random.choice(sorted(world.held or world.vms))
+    world.proxies[name].reset()
+    world.note('reset', name, time.time())
+
+
+async def cut(world: worlds.World) -> None:
+    """Hold back the bytes from or to a node for a moment."""
+    await world.sleep(0.5, 4.0)
+    name = world.random.choice(sorted(world.held or world.vms))
+    began, direction = time.time(), world.random.randrange(2)
+    await world.proxies[name].cut(direction, world.random.uniform(0.2, 1.5))
+    world.note('cut', name, began, f'direction {direction}')
+
+
+async def replace(world: worlds.World) -> None:
+    """Replace a target that has drained at its address by a new one."""
+    await world.sleep(0.0, 2.0)
+    name = world.random.choice(sorted(world.vms))
+    if name in world.replaced or not world.may_take(name):
+        return
+    world.replaced.add(name)
+    began = time.time()
+    address = world.vms[name].addresses['app']
+    await world.post_control(address, 'change', state='draining')
+    await world.sleep(2.2, 3.0)
+    while (await world.report(name) or {}).get('running'):
+        await asyncio.sleep(0.1)
+        if time.time() > began + DRAIN_S:
+            break
+    killed = time.time()
+    await world.end_target(name)
+    world.note('replace', name, began, f'killed {killed:.2f}')
+    await world.sleep(0.0, 1.0)
+    world.start_target(name)
+    await asyncio.sleep(2.0)
+    world.replaced.discard(name)
+
+
+async def lose_store(world: worlds.World) -> None:
+    """Take the store away for some seconds."""
+    await world.sleep(1.0, 4.0)
+    began = time.time()
+    address = world.store_address
+    await world.post_control(address, 'faults', is_away=True)
+    await world.sleep(1.0, 4.0)
+    await world.post_control(address, 'faults', is_away=False)
+    world.note('store', '*', began)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,162 @@
+"""Runs a soak: load and disturbances."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import shutil
+import time
+import typing
+
+import attrs
+
+from soak import checks
+from soak import clients
+from soak import disturbances as acts
+from soak import report as reports
+from soak import world as worlds
+from standins import fleet
+
+Act = typing.Callable[[worlds.World], typing.Awaitable[None]]
+
+
+@attrs.frozen
+class Mix:
+    """Series of disturbances that overlap, and habits of the clients."""
+
+    series: tuple[Act, ...]
+    habits: clients.Habits = clients.Habits()
+
+    @property
+    def has_proxies(self) -> bool:
+        """Return whether nodes need proxies."""
+        return acts.cut in self.series
+
+
+STOPS = (acts.stop, acts.stop)
+IDLE = clients.Habits(clients=30, long_idle_share=0.6)
+MIXED = clients.Habits(10, 0.1, 0.1, 0.1)
+MIXES = {
+    'stops': Mix((*STOPS, acts.hup, acts.configure)),
+    'planned': Mix((*STOPS, acts.hup, acts.configure, acts.replace), MIXED),
+    'pauses': Mix((*STOPS, acts.pause, acts.pause)),
+    'heldup': Mix((acts.stop_held_up, acts.stop_held_up, acts.configure)),
+    'early': Mix((acts.stop_early, acts.stop_early, acts.hup)),
+    'hups': Mix((*STOPS, acts.hup_stopping)),
+    'busy': Mix((*STOPS, acts.busy, acts.hup)),
+    'cuts': Mix((*STOPS, acts.reset, acts.cut)),
+    'replace': Mix((*STOPS, acts.replace, acts.replace)),
+    'nested': Mix(
+        (*STOPS, acts.hup, acts.configure), clients.Habits(nested_share=0.5)
+    ),
+    'idle': Mix((*STOPS, acts.limit, acts.hup), IDLE),
+    'idlepause': Mix(
+        (acts.stop_held_up, acts.limit, acts.pause, acts.pause), IDLE
+    ),
+    'crowd': Mix(
+        (*STOPS, acts.configure),
+        clients.Habits(clients=80, long_idle_share=0.2, pause_s=4.0),
+    ),
+    'store': Mix((*STOPS, acts.lose_store, acts.configure)),
+    'uploads': Mix(
+        (*STOPS, acts.hup, acts.limit), clients.Habits(upload_share=0.5)
+    ),
+    'all': Mix(
+        (*STOPS, acts.limit, acts.replace, acts.lose_store, acts.pause), MIXED
+    ),
+}
+
+
+@attrs.define(eq=False)
+class Result:
+    """What a soak has seen."""
+
+    requests: list[clients.Request]
+    findings: list[checks.Finding]
+    problems: list[str]
+    report: str
+
+
+async def play(
+    mix_name: str,
+    seed: int,
+    seconds: float,
+    node_count: int,
+    keep: pathlib.Path | None = None,
+) -> Result:
+    """Run a soak; keep the logs and the report if something was found."""
+    mix, title = MIXES[mix_name], f'{mix_name}-{seed}-{node_count}'
+    async with fleet.Fleet.open() as processes:
+        world = worlds.World(processes, random=random.Random(seed))
+        try:
+            await world.start(node_count, has_proxies=mix.has_proxies)
+            requests, lag_s = await _load(world, mix, seed, seconds)
+            for name in world.vms:
+                await world.keep_report(name)
+        except BaseException:
+            _keep(processes, keep, f'{title}-failed')
+            raise
+        finally:
+            for proxy in world.proxies.values():
+                proxy.close()
+        requests += checks.nested_requests(world)
+        findings = checks.judge(world, requests)
+        problems = checks.problems(world, findings)
+        text = f'== {title}, lag {lag_s:.2f} s: ' + reports.build(
+            world, requests, findings, problems
+        )
+        unusual = {item.label for item in findings} - checks.USUAL
+        (processes.folder / 'report.txt').write_text(text)
+        if problems or unusual:
+            _keep(processes, keep, title)
+        return Result(requests, findings, problems, text)
+
+
+def _keep(
+    processes: fleet.Fleet, keep: pathlib.Path | None, title: str
+) -> None:
+    """Copy the logs of all processes to a folder, if one is given."""
+    if keep is not None:
+        shutil.copytree(processes.folder, keep / title, dirs_exist_ok=True)
+
+
+async def _load(
+    world: worlds.World, mix: Mix, seed: int, seconds: float
+) -> tuple[list[clients.Request], float]:
+    """Run clients and disturbances; return requests and the longest lag."""
+    until, quiet = asyncio.Event(), asyncio.Event()
+    callers = [
+        clients.Client(
+            world, mix.habits, vm, i, random.Random(f'{seed}{vm}{i}')
+        )
+        for vm in world.vms
+        for i in range(mix.habits.clients)
+    ]
+    async with asyncio.TaskGroup() as load:
+        for caller in callers:
+            load.create_task(caller.run(until))
+        lag = load.create_task(_measure_lag(until))
+        async with asyncio.TaskGroup() as series:
+            for act in mix.series:
+                series.create_task(_repeat(world, act, quiet))
+            await asyncio.sleep(seconds)
+            quiet.set()
+        until.set()
+    return [item for one in callers for item in one.requests], lag.result()
+
+
+async def _repeat(world: worlds.World, act: Act, quiet: asyncio.Event) -> None:
+    while not quiet.is_set():
+        await world.sleep(0.2, 1.0)
+        await act(world)
+
+
+async def _measure_lag(until: asyncio.Event) -> float:
+    """Return the longest time for which the loop of the soak was held up."""
+    longest = 0.0
+    while not until.is_set():
+        began = time.time()
+        await asyncio.sleep(0.05)
+        longest = max(longest, time.time() - began - 0.05)
+    return longest
