--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -207,6 +207,7 @@
     world.note('replace', name, began, f'killed {killed:.2f}')
     await world.sleep(0.0, 1.0)
     world.start_target(name)
+    await world.processes.wait_until(lambda: world.report(name), START_S)
     await asyncio.sleep(2.0)
     world.replaced.discard(name)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -56,7 +56,7 @@
     ),
     'crowd': Mix(
         (*STOPS, acts.configure),
-        clients.Habits(clients=80, long_idle_share=0.2, pause_s=4.0),
+        clients.Habits(clients=80, long_idle_share=0.2, pause_s=3.0),
     ),
     'store': Mix((*STOPS, acts.lose_store, acts.configure)),
     'uploads': Mix(
