--- a/tests/peers/test_peers_finishing.feature
+++ b/tests/peers/test_peers_finishing.feature
@@ -39,6 +39,15 @@
     And only the served call that may be repeated was cancelled
     And the peer was told of the call that was cancelled only
 
+  # Guards against a reset that destroys an answer which a node that was held
+  # up has received but not read.
+  Scenario: a node that has not read an answer yet is silent
+    Given two connected nodes and served calls of each kind
+    When both calls are answered
+    And the peer stops responding
+    Then the connection is given up within 2.9 s
+    And the connection is closed within 5.0 s
+
   Scenario: a silent node is lost for all but the calls that wait for it
     Given two nodes of which one gives up the other after 0.4 s
     When a call that may not be repeated waits for a node that reads nothing
--- a/tests/steps/test_peers_finishing.py
+++ b/tests/steps/test_peers_finishing.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         self.cancelled: list[int] = []
         self.handled: list[messages.Message] = []
+        self.is_answering = asyncio.Event()
 
     async def serve(
         self,
@@ -57,9 +58,9 @@
         start: messages.CallStart,
         stream: streams.Stream,
     ) -> None:
-        """Serve a call without end."""
+        """Serve a call until calls are answered."""
         try:
-            await asyncio.Event().wait()
+            await self.is_answering.wait()
         except asyncio.CancelledError:
             self.cancelled.append(start.call)
             raise
@@ -140,6 +141,12 @@
     context.run(act())
 
 
+@behave.when('both calls are answered')
+def when_answered(context: typing.Any) -> None:
+    context.handler.is_answering.set()
+    context.run(pool_steps.until(lambda: not context.connection.serving))
+
+
 @behave.then('the connection is given up within {seconds:f} s')
 def then_given_up(context: typing.Any, seconds: float) -> None:
     async def wait() -> None:
