--- a/tests/peers/test_peers_finishing.feature
+++ b/tests/peers/test_peers_finishing.feature
@@ -61,3 +61,21 @@
     When a call that may not be repeated waits for a node that reads nothing
     Then the connection is reported lost once within 1.3 s
     And the call fails within 1.5 s, before its deadline
+
+  # Guards against a call that fails because of a second connection on which
+  # nothing has come since.
+  Scenario: a node that is held up is silent on all of its connections
+    Given two nodes of which one gives up the other after 0.4 s
+    And a second connection between them
+    When a call that may not be repeated waits for a node that reads nothing
+    Then the connection is reported lost once within 1.3 s
+    And the call still waits 1.5 s later
+
+  # Guards against a call that fails because its node was started again while
+  # the previous process still finishes it.
+  Scenario: the previous process of a node has said goodbye and is held up
+    Given two connected nodes and a call of each kind with a deadline of 5 s
+    When the peer says goodbye
+    And the peer stops responding
+    And another process of the peer answers 1.5 s later
+    Then only the call that may be repeated has failed
--- a/tests/steps/test_peers_finishing.py
+++ b/tests/steps/test_peers_finishing.py
@@ -141,6 +141,40 @@
     context.run(act())
 
 
+@behave.when('the peer says goodbye')
+def when_goodbye(context: typing.Any) -> None:
+    context.link.arrive(messages.Goodbye())
+    context.run(pool_steps.until(lambda: context.connection.is_draining))
+
+
+@behave.when('another process of the peer answers {seconds:f} s later')
+def when_other_process(context: typing.Any, seconds: float) -> None:
+    connection = context.connection
+    context.run(asyncio.sleep(seconds))
+    hello = attrs.evolve(connection.hello, incarnation=2)
+    connection.note_replacement(attrs.evolve(connection, hello=hello))
+
+
+@behave.given('a second connection between them')
+def given_second(context: typing.Any) -> None:
+    async def act() -> None:
+        pool = context.dialling
+        pool.by_address[context.address] = await pool._dial(context.address)
+        await pool_steps.until(lambda: len(context.accepting.all()) == 2)
+
+    context.run(act())
+    for connection in context.accepting.all():
+        if connection is not context.accepted:
+            transport = connection.link.transport.underlying_transport
+            transport.pause_reading()
+
+
+@behave.then('the call still waits {seconds:f} s later')
+def then_waits(context: typing.Any, seconds: float) -> None:
+    context.run(asyncio.sleep(seconds))
+    assert not context.stream.failure, context.stream.failure
+
+
 @behave.when('both calls are answered')
 def when_answered(context: typing.Any) -> None:
     context.handler.is_answering.set()
