Targets: a call is not sent on a connection that the target has closed

Callers saw: 502 for a booking that never ran. Cause: after the loop was held up, a kept connection to the target was used though its end waited in the kernel; and a booking used one for up to 1 s although the target had announced a shorter time (Keep-Alive). Why this works: the pool peeks at the socket before it uses it, and keeps the shorter time.

--- a/pomelobend/targets/channel_pool.py
+++ b/pomelobend/targets/channel_pool.py
@@ -54,10 +54,7 @@
         now = self.clock.monotonic()
         while self.idle:
             channel = self.idle.pop()
-            max_idle_s = (
-                channel.idle_s if is_idempotent else NON_IDEMPOTENT_IDLE_S
-            )
-            if channel.is_open and now - channel.idle_since <= max_idle_s:
+            if _is_usable(channel, now, is_idempotent=is_idempotent):
                 return channel
             channel.close()
         host, port = addresses.split(self.address)
@@ -86,3 +83,17 @@
         for channel in self.idle:
             channel.close()
         self.idle.clear()
+
+
+def _is_usable(
+    channel: channels.Channel, now: float, *, is_idempotent: bool
+) -> bool:
+    """Return whether an idle connection can carry a call."""
+    max_idle_s = channel.idle_s
+    if not is_idempotent:
+        max_idle_s = min(max_idle_s, NON_IDEMPOTENT_IDLE_S)
+    return (
+        channel.is_open
+        and now - channel.idle_since <= max_idle_s
+        and not channel.has_waiting_end()
+    )
