Calls end before their callers leave, with an answer

Callers saw: a request that was read ends without an answer. A client stops waiting at the deadline that it has stated. A target is told what is left of it, ends its work just then, and its answer arrives after that; the node's own 504 for a silent node or target came 0.12 s after the deadline. So every call that reached its caller's deadline was left unanswered, also at a node that nothing was done to.

Cause: the deadline of the caller was used as that of the work. Nothing was kept back for the way of the answer.

Now routing/deadlines.py sets two ends: targets stop 40 ms, the reply of the node leaves 20 ms before the caller does (less for callers of less than 0.5 s). A limit of the route that is earlier stays as it was. A node waits 20 ms longer than the target was told, so that the target's own 504 is what the caller gets; the node's stands in only for a silent one.

--- /dev/null
+++ b/pomelobend/routing/deadlines.py
@@ -0,0 +1,63 @@
+"""When a call must end so that its caller still gets the reply.
+
+A caller leaves at the end of the time that it has stated. What reaches it
+later is lost: it saw a request without an answer.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from pomelobend import limits
+
+REPLY_TRAVEL_S = 0.02
+"""Time for a reply to reach its caller."""
+
+ANSWER_TRAVEL_S = 0.02
+"""Time for the last answer of a target to reach the node of the caller."""
+
+MAX_SHARE = 0.04
+"""Largest share of the time of a caller that either of them may take."""
+
+LIMIT_SLACK_S = 0.12
+"""Time past the limit of a route in which an answer is still accepted."""
+
+
+@attrs.frozen
+class Deadlines:
+    """The ends of a call, as monotonic times.
+
+    Parameters
+    ----------
+    target : float
+        Time at which targets stop to work on it.
+    reply : float
+        Time at which the node replies itself if no answer has come.
+    """
+
+    target: float
+    reply: float
+
+
+def of(started: float, requested_s: float, limit_s: float) -> Deadlines:
+    """Return the ends of a call.
+
+    Parameters
+    ----------
+    started : float
+        Monotonic time of its first byte.
+    requested_s : float
+        Time after which its caller leaves.
+    limit_s : float
+        Limit of its route, which the caller may outlast.
+    """
+    leaves_at = started + requested_s
+    most_s = requested_s * MAX_SHARE
+    reply = leaves_at - min(REPLY_TRAVEL_S, most_s)
+    target = reply - min(ANSWER_TRAVEL_S, most_s)
+    if started + limit_s < target:
+        target = started + limit_s
+    # A limit is over only when the loop has read what came before it.
+    return Deadlines(
+        target, min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S)
+    )
--- /dev/null
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -0,0 +1,31 @@
+Feature: callers get an answer before they leave
+
+  # Guards against callers that leave at their deadline without an answer.
+  Scenario Outline: a <method> call of <deadline_ms> ms is answered in time while <what> is silent
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a caller that leaves after <deadline_ms> ms sends a <method> call, and <what> falls silent
+    Then the caller has an answer
+    And the call ran at most twice, and once if it may not be repeated
+
+    Examples:
+      | method | deadline_ms | what                |
+      | POST   | 1000        | the node of the run |
+      | POST   | 3000        | the node of the run |
+      | GET    | 1000        | every node of a run |
+      | GET    | 1500        | every node of a run |
+      | POST   | 500         | the target          |
+      | POST   | 1000        | the target          |
+      | GET    | 1000        | the target          |
+
+  Scenario Outline: a <method> call that its target works on past <deadline_ms> ms is answered in time
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a caller that leaves after <deadline_ms> ms sends a <method> call of 5 s
+    Then the caller has an answer of the target
+
+    Examples:
+      | method | deadline_ms |
+      | POST   | 500         |
+      | POST   | 1000        |
+      | GET    | 1000        |
--- /dev/null
+++ b/tests/steps/test_mesh_deadlines.py
@@ -0,0 +1,101 @@
+"""Steps for callers that leave at their deadline, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import typing
+
+import behave
+
+from standins import fleet
+from tests.steps import test_mesh_held_up as held_up_steps
+from tests.steps import test_mesh_stop as stop_steps
+
+CALL = 'in-time'
+WORK_S = 5.0
+PATHS = {'POST': '/booking/a', 'GET': '/archive/a'}
+GATEWAY_TIMEOUT = 504
+
+
+def start_call(
+    context: typing.Any, method: str, deadline_ms: int
+) -> asyncio.Task:
+    """Send a call whose caller leaves at its deadline."""
+    headers = {'x-work-s': str(WORK_S), 'x-deadline-ms': str(deadline_ms)}
+    return asyncio.create_task(
+        context.mesh.call(
+            held_up_steps.NODE,
+            PATHS[method],
+            CALL,
+            method,
+            deadline_ms / 1000,
+            **headers,
+        )
+    )
+
+
+def silent_processes(
+    context: typing.Any, what: str, name: str
+) -> list[fleet.Process]:
+    """Return the processes that fall silent; the call runs at a VM."""
+    vms = context.mesh.vms
+    if what == 'the target':
+        return [vms[name].target]
+    if what == 'the node of the run':
+        return [vms[name].node]
+    return [vms[other].node for other in held_up_steps.TARGETS]
+
+
+@behave.when(
+    'a caller that leaves after {deadline_ms:d} ms sends a {method:w} call, '
+    'and {what} falls silent'
+)
+def when_silent(
+    context: typing.Any, deadline_ms: int, method: str, what: str
+) -> None:
+    async def act() -> None:
+        call = start_call(context, method, deadline_ms)
+        name = await held_up_steps.find_run(context, CALL)
+        silent = silent_processes(context, what, name)
+        for process in silent:
+            process.signal(signal.SIGSTOP)
+        context.method, context.answer = method, await call
+        for process in silent:
+            process.signal(signal.SIGCONT)
+        context.runs = await stop_steps.runs(context)
+
+    context.run(act())
+
+
+@behave.when(
+    'a caller that leaves after {deadline_ms:d} ms sends a {method:w} call '
+    'of 5 s'
+)
+def when_long(context: typing.Any, deadline_ms: int, method: str) -> None:
+    context.answer = context.run(_answer(context, method, deadline_ms))
+
+
+async def _answer(
+    context: typing.Any, method: str, deadline_ms: int
+) -> tuple[int, dict[str, str], str]:
+    return await start_call(context, method, deadline_ms)
+
+
+@behave.then('the caller has an answer')
+def then_answered(context: typing.Any) -> None:
+    status, _, _ = context.answer
+    assert status == GATEWAY_TIMEOUT, context.answer
+
+
+@behave.then('the caller has an answer of the target')
+def then_answered_by_target(context: typing.Any) -> None:
+    status, headers, _ = context.answer
+    assert status == GATEWAY_TIMEOUT, context.answer
+    assert 'x-response-signature' in headers, context.answer
+
+
+@behave.then('the call ran at most twice, and once if it may not be repeated')
+def then_runs(context: typing.Any) -> None:
+    most = 1 if context.method == 'POST' else 2
+    assert 1 <= context.runs[CALL] <= most, context.runs
--- /dev/null
+++ b/tests/steps/test_routing_deadlines.py
@@ -0,0 +1,31 @@
+"""Steps for the ends of calls."""
+
+from __future__ import annotations
+
+import typing
+
+import behave
+
+from pomelobend.routing import deadlines
+
+STARTED = 100.0
+
+
+@behave.when(
+    'the ends of a call are set for {caller_ms:d} ms and a route of '
+    '{route_ms:d} ms'
+)
+def when_set(context: typing.Any, caller_ms: int, route_ms: int) -> None:
+    context.ends = deadlines.of(STARTED, caller_ms / 1000, route_ms / 1000)
+
+
+@behave.then('targets have {target_ms:d} ms')
+def then_target(context: typing.Any, target_ms: int) -> None:
+    seconds = context.ends.target - STARTED
+    assert round(seconds * 1000) == target_ms, context.ends
+
+
+@behave.then('the node replies itself from {reply_ms:d} ms on')
+def then_reply(context: typing.Any, reply_ms: int) -> None:
+    seconds = context.ends.reply - STARTED
+    assert round(seconds * 1000) == reply_ms, context.ends
