Replies leave earlier, for VMs whose processor quota holds them up

Callers saw: on a machine with a load average of 22 to 28 the caller of a call of 1.0 s with a silent target had left when its 504 came, in one of three runs of mesh/test_mesh_deadlines (and one of 500 ms once, at 22 to 49). The test prints the lines of the node now: held_ms was 1005, where the reply was due at 980, so the node had got no processor time for 25 ms.

Cause: 20 ms were kept back for the way of a reply.

Now 50 ms are kept back, 5 in 100 of the time of callers that wait less than 1 s.

--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -10,13 +10,14 @@
 
 from pomelobend import limits
 
-REPLY_TRAVEL_S = 0.02
-"""Time for a reply to reach its caller."""
+REPLY_TRAVEL_S = 0.05
+"""Time for a reply to reach its caller. A processor quota may hold up the
+node for half of a tenth of a second meanwhile."""
 
 ANSWER_TRAVEL_S = 0.02
 """Time for the last answer of a target to reach the node of the caller."""
 
-MAX_SHARE = 0.04
+MAX_SHARE = 0.05
 """Largest share of the time of a caller that either of them may take."""
 
 LIMIT_SLACK_S = 0.12
--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -82,16 +82,26 @@
     return await start_call(context, method, deadline_ms)
 
 
+def node_lines(context: typing.Any) -> list[str]:
+    """Return what the caller's node has logged of the call and its loop."""
+    log = context.mesh.vms[held_up_steps.NODE].node.log
+    return [
+        line
+        for line in log.read_text().splitlines()
+        if CALL in line or 'held up' in line
+    ]
+
+
 @behave.then('the caller has an answer')
 def then_answered(context: typing.Any) -> None:
     status, _, _ = context.answer
-    assert status == GATEWAY_TIMEOUT, context.answer
+    assert status == GATEWAY_TIMEOUT, (context.answer, node_lines(context))
 
 
 @behave.then('the caller has an answer of the target')
 def then_answered_by_target(context: typing.Any) -> None:
     status, headers, _ = context.answer
-    assert status == GATEWAY_TIMEOUT, context.answer
+    assert status == GATEWAY_TIMEOUT, (context.answer, node_lines(context))
     assert 'x-response-signature' in headers, context.answer
 
 
