A node that was held up counts its stop from when it last ran

Cause: such a process notes the signal when it runs again, and all ends of its grace period counted from then.

The time of the signal is not known then, only that the loop had not run since. The stall watch knows when its task is due; if that is past when the signal is noted, the signal may have come since the last time at which the clock was read, and the grace period counts from that. The handler takes the time before anything else runs in the loop. The watch runs every 0.25 s in place of 0.5 s, so that a stall that it does not notice is shorter than the 0.3 s by which the replies may be late.

The signal may also have come last, and then a reply before the last sixth of the grace period would break off a target at work. So the replies and the closing move back by what the reserve does not cover, by 0.3 s at most.

Remains: a stall of less than 0.25 s may go unnoticed, and a signal that is noted before the loop runs for the first time counts from then. With a stall of more than 0.6 s at whose end the signal came, a call at work is still broken off before the last sixth.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -29,6 +29,9 @@
 REPLY_RESERVE_S = 0.1
 """Time between the last reply to a caller and the closing of connections."""
 
+UNEXCUSED_SHARE = 5 / 6
+"""Share of the grace period in which a call at work is owed its answer."""
+
 LEAST_S = 0.2
 """Shortest time that a stop takes, however late SIGTERM was handled."""
 
@@ -56,17 +59,33 @@
     closes_at: float = math.inf
     timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
 
-    def begin(self, grace_s: float, signalled_at: float) -> None:
+    def begin(
+        self,
+        grace_s: float,
+        signalled_at: float,
+        noted_at: float | None = None,
+    ) -> None:
         """Start the grace period and shorten the timeouts that exceed it.
 
         It counts from the time of the signal. If little of it is left, half
         of that is for what has arrived but has not been read yet, and for the
         replies; the rest is for closing connections.
+
+        Parameters
+        ----------
+        grace_s : float
+        signalled_at : float
+            Time of the signal, or the earliest one that is possible.
+        noted_at : float or None
+            The latest time that is possible, if it is another one.
         """
         now = self.clock.monotonic()
         end = signalled_at + grace_s
         left_s = max(end - now, LEAST_S)
-        self.closes_at = max(end - CLOSE_RESERVE_S, now + left_s / 2)
+        closes_at = end - CLOSE_RESERVE_S
+        if noted_at is not None:
+            closes_at += _extra_s(grace_s, noted_at - signalled_at)
+        self.closes_at = max(closes_at, now + left_s / 2)
         self.replies_until = max(
             self.closes_at - REPLY_RESERVE_S, now + left_s / 4
         )
@@ -124,3 +143,14 @@
                 yield
             finally:
                 self.timeouts.discard(timeout)
+
+
+def _extra_s(grace_s: float, unsure_s: float) -> float:
+    """Return how much later connections close if the signal came later.
+
+    Calls at work are then owed their answers for longer. At least half of the
+    reserve for closing is kept, as the signal may also have come first.
+    """
+    reserve_s = CLOSE_RESERVE_S + REPLY_RESERVE_S
+    spare_s = (1 - UNEXCUSED_SHARE) * grace_s - reserve_s
+    return min(max(unsure_s - spare_s, 0.0), CLOSE_RESERVE_S / 2)
--- a/pomelobend/signals.py
+++ b/pomelobend/signals.py
@@ -20,11 +20,13 @@
 
 HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-_held: list[tuple[int, float]] = []
+_held: list[tuple[int, float, float]] = []
 
 _loop: asyncio.AbstractEventLoop | None = None
 
-_handle: abc.Callable[[int, float], None] | None = None
+_handle: abc.Callable[[int, float, float], None] | None = None
+
+_earliest: abc.Callable[[float], float] | None = None
 
 
 def hold() -> None:
@@ -35,28 +37,36 @@
 
 def holds_stop() -> bool:
     """Return whether a signal to stop is held back."""
-    return any(number != signal.SIGHUP for number, _ in _held)
+    return any(number != signal.SIGHUP for number, *_ in _held)
 
 
 def deliver(
     loop: asyncio.AbstractEventLoop,
-    handle: abc.Callable[[int, float], None],
+    handle: abc.Callable[[int, float, float], None],
+    earliest: abc.Callable[[float], float] | None = None,
 ) -> None:
     """Call a function in an event loop for each signal, held ones first.
 
-    It gets the number and the time at which the signal came, by the clock of
-    ``clock.SystemClock.monotonic``.
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    handle : callable
+        Gets the number, and the earliest and the latest time at which the
+        signal may have come, by the clock of ``clock.SystemClock.monotonic``.
+    earliest : callable or None
+        Returns the earliest of these times for the latest one. It is called
+        before anything else that runs in the loop after the signal.
     """
-    global _loop, _handle
-    _loop, _handle = loop, handle
+    global _loop, _handle, _earliest
+    _loop, _handle, _earliest = loop, handle, earliest
     for _ in tuple(_held):
         loop.call_soon(_deliver_next)
 
 
 def withhold() -> None:
     """Hold back the signals again, before the event loop ends."""
-    global _loop, _handle
-    _loop = _handle = None
+    global _loop, _handle, _earliest
+    _loop = _handle = _earliest = None
 
 
 def ignore() -> None:
@@ -70,7 +80,9 @@
 
 
 def _receive(number: int, _frame: types.FrameType | None) -> None:
-    _held.append((number, time.clock_gettime(time.CLOCK_BOOTTIME)))
+    noted_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+    came_at = noted_at if _earliest is None else _earliest(noted_at)
+    _held.append((number, came_at, noted_at))
     if _loop is not None:
         _loop.call_soon_threadsafe(_deliver_next)
 
--- a/pomelobend/stalls.py
+++ b/pomelobend/stalls.py
@@ -18,11 +18,14 @@
 
 logger = structlog.get_logger('node')
 
-INTERVAL_S = 0.5
+INTERVAL_S = 0.25
 
 NOTICEABLE_S = 0.2
 """Delay from which on a stall is logged."""
 
+HELD_UP_S = 0.05
+"""Delay from which on a signal may have come some time ago."""
+
 RECENT_S = 5.0
 """Time for which a stall is told with other events."""
 
@@ -71,6 +74,17 @@
             'node: event loop was held up', late_ms=round(late_s * 1000)
         )
 
+    def earliest(self, noted_at: float) -> float:
+        """Return the earliest time at which a signal may have come.
+
+        It is the time at which the signal is noted, unless the loop is held
+        up until then: a process that gets no processor time notes it late.
+        """
+        if noted_at - self.due < HELD_UP_S:
+            return noted_at
+        ran_at = max(self.due - INTERVAL_S, self.clock.read_at)
+        return min(ran_at, noted_at)
+
     def recent_ms(self) -> int:
         """Return the longest recent stall in ms, one that ends now included.
 
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -56,6 +56,22 @@
       | 5.9    | 2.5       | 5.95      | 5.95    | 6.0      |
       | 7.0    | 2.5       | 7.05      | 7.05    | 7.1      |
 
+  # Guards against a process that is killed, or breaks off calls too early, as
+  # the time of SIGTERM is not known.
+  Scenario Outline: SIGTERM may have come up to <unsure_s> s before it is noted
+    Given a node that has received SIGTERM with a grace period of <grace_s> s
+    When SIGTERM is noted <unsure_s> s after its earliest time while a call of <grace_s> s waits
+    Then its caller is replied to <reply_s> s after SIGTERM
+    And calls of any length are accepted until 2.5 s, connections until <listens_s> s, and closed <closes_s> s after SIGTERM
+
+    Examples:
+      | grace_s | unsure_s | listens_s | reply_s | closes_s |
+      | 6       | 0.0      | 2.5       | 5.3     | 5.4      |
+      | 6       | 0.2      | 2.7       | 5.3     | 5.4      |
+      | 6       | 0.5      | 3.0       | 5.5     | 5.6      |
+      | 6       | 0.9      | 3.4       | 5.6     | 5.7      |
+      | 10      | 0.8      | 3.3       | 9.3     | 9.4      |
+
   # Guards against 504 for an answer that arrived in time, as the loop was held
   # up and its timers run before its sockets are read.
   @uvloop
--- a/tests/mesh/test_mesh_held_up.feature
+++ b/tests/mesh/test_mesh_held_up.feature
@@ -38,3 +38,15 @@
     When all nodes at the targets of a lookup are held up for 1.5 s, with no other event
     Then the lookup is answered by a target
     And the metrics of its node count the answer of a silent node
+
+  # Guards against a grace period that begins when a node that was held up
+  # notes SIGTERM: it accepts calls for too long and is killed before it replies.
+  Scenario: a node is held up while SIGTERM arrives
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a node with calls in flight is held up for 0.8 s and gets SIGTERM 0.2 s after its start
+    Then no call that came later than 3 s after SIGTERM was cut
+    And the node has stopped by itself
+    And the node has exited within its grace period
+    And the call that ends before the last sixth of the grace period has the answer of its target
+    And the call that lasts longer has an answer from the last sixth of the grace period
--- a/tests/mesh/test_mesh_stalls.feature
+++ b/tests/mesh/test_mesh_stalls.feature
@@ -18,3 +18,17 @@
       | later_s | late_ms |
       | 1.0     | 900     |
       | 6.0     | 0       |
+
+  # Guards against a stop that counts its time from when a node runs again.
+  Scenario Outline: a signal is noted <noted_s> s after the loop has run and <read_s> s after its clock was read
+    Given a node whose event loop runs
+    When a signal is noted <noted_s> s after that, and <read_s> s after the clock was read
+    Then it may have come <early_s> s before it is noted
+
+    Examples:
+      | noted_s | read_s | early_s |
+      | 0.2     | 0.2    | 0.0     |
+      | 0.28    | 0.28   | 0.0     |
+      | 0.9     | 0.9    | 0.9     |
+      | 0.9     | 0.8    | 0.8     |
+      | 0.9     | 0.01   | 0.01    |
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -127,11 +127,30 @@
 
 @behave.when('SIGTERM is handled {late_s:g} s late while a call of 9 s waits')
 def when_handled_late(context: typing.Any, late_s: float) -> None:
+    stop_late(context, late_s, 9.0, is_known=True)
+
+
+@behave.when(
+    'SIGTERM is noted {unsure_s:g} s after its earliest time while a call of '
+    '{call_s:g} s waits'
+)
+def when_noted_late(
+    context: typing.Any, unsure_s: float, call_s: float
+) -> None:
+    stop_late(context, unsure_s, call_s, is_known=False)
+
+
+def stop_late(
+    context: typing.Any, late_s: float, call_s: float, *, is_known: bool
+) -> None:
+    """Stop late after the earliest time of SIGTERM; it may be known."""
+
     async def act() -> None:
         signalled_at = context.clock.monotonic()
-        waiting = asyncio.create_task(wait(context, signalled_at + 9))
+        waiting = asyncio.create_task(wait(context, signalled_at + call_s))
         await asyncio.sleep(late_s)
-        begin(context, late_s)
+        noted_at = None if is_known else context.clock.monotonic()
+        context.grace.begin(context.grace_s, signalled_at, noted_at)
         grace = context.grace
         context.accepts_s = grace.accepts_until - signalled_at
         context.listens_s = grace.listens_until - signalled_at
--- a/tests/steps/test_mesh_stalls.py
+++ b/tests/steps/test_mesh_stalls.py
@@ -75,3 +75,26 @@
     (line,) = context.lines
     assert line['event'] == 'front: call refused', line
     assert line['loop_late_ms'] == late_ms, line
+
+
+@behave.given('a node whose event loop runs')
+def given_running(context: typing.Any) -> None:
+    context.clock = test_clocks.StepClock()
+    context.watch = stalls.StallWatch(context.clock)
+    context.watch.due = context.clock.time_s + stalls.INTERVAL_S
+
+
+@behave.when(
+    'a signal is noted {noted_s:g} s after that, and {read_s:g} s after the '
+    'clock was read'
+)
+def when_noted(context: typing.Any, noted_s: float, read_s: float) -> None:
+    context.noted_at = context.clock.time_s + noted_s
+    context.clock.read_at = context.noted_at - read_s
+    context.came_at = context.watch.earliest(context.noted_at)
+
+
+@behave.then('it may have come {early_s:g} s before it is noted')
+def then_may_have_come(context: typing.Any, early_s: float) -> None:
+    found_s = context.noted_at - context.came_at
+    assert abs(found_s - early_s) < 1e-6, found_s
