A node that stops takes no booking of another node that may outlast it

A node that did not know of a stop yet (for up to 2.5 s) could send the stopping one a call that may not be repeated and that lasts longer than its grace period.

Such calls are now refused from SIGTERM on, as not run, so that the other node sends them to another target without an attempt or the retry budget. Calls that may be repeated are taken as before: they can be sent again.

Remains: bookings that run at the node when its SIGTERM comes and last longer than 5.4 s from then are cut as before.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -41,7 +41,8 @@
     """The grace period between SIGTERM and the end of the process.
 
     After the first seconds a call is accepted only if its deadline is within
-    the grace period: it would be cut with its outcome unknown otherwise.
+    the grace period: it would be cut with its outcome unknown otherwise. For
+    calls of other nodes that may not be repeated it is so from SIGTERM on.
 
     Parameters
     ----------
@@ -107,8 +108,26 @@
         ------
         errors.CallRefusedError
         """
-        is_late = self.clock.monotonic() >= self.accepts_until
-        if is_late and deadline > self.replies_until:
+        if self.clock.monotonic() >= self.accepts_until:
+            self._check_end(deadline)
+
+    def check_served(self, deadline: float, *, is_idempotent: bool) -> None:
+        """Refuse a call of another node that would outlast the grace period.
+
+        One that may not be repeated is refused from SIGTERM on. That node can
+        send it to another target, but not once it has run here.
+
+        Raises
+        ------
+        errors.CallRefusedError
+        """
+        if is_idempotent:
+            self.check(deadline)
+        else:
+            self._check_end(deadline)
+
+    def _check_end(self, deadline: float) -> None:
+        if deadline > self.replies_until:
             raise errors.CallRefusedError(errors.Reason.STOPPING)
 
     async def wait(self, task: asyncio.Task[T], deadline: float) -> T:
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -13,6 +13,21 @@
       | 2.6    | 2.8    | refused  |
       | 5.0    | 0.5    | refused  |
 
+  Scenario Outline: a call that another node sends <came_s> s after SIGTERM, ends within <left_s> s and <kind> is <outcome>
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call from another node comes after <came_s> s that ends within <left_s> s and <kind>
+    Then it is <outcome> as far as the grace period goes
+
+    Examples:
+      | came_s | left_s | kind                | outcome  |
+      | 0.0    | 5.2    | may not be repeated | accepted |
+      | 0.0    | 5.4    | may not be repeated | refused  |
+      | 2.4    | 2.8    | may not be repeated | accepted |
+      | 2.4    | 9.0    | may not be repeated | refused  |
+      | 2.4    | 9.0    | may be repeated     | accepted |
+      | 2.6    | 2.8    | may be repeated     | refused  |
+      | 2.6    | 2.6    | may be repeated     | accepted |
+
   # Guards against calls that are accepted when no reply is given any more.
   Scenario: a call that comes late in a short grace period is refused
     Given a node that has received SIGTERM with a grace period of 2 s
--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -13,6 +13,15 @@
       | behind another one on its connection     |
       | from another node                        |
 
+  # Guards against a call that is taken from a node which does not know of the
+  # stop yet, is cut at its end, and may not be sent again.
+  Scenario: a booking from another node that may outlast the grace period is not taken
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a booking of 6 s with 9 s left comes from another node 1 s after SIGTERM to a node
+    Then the call receives a complete answer
+    And the call ran if and only if it was answered with 200
+
   Scenario: a call that is still running at the end of the grace period receives an answer
     Given a mesh with two targets of a service in each of two domains
     And routes whose calls may take 12 s
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import socket
 import time
 import typing
@@ -15,6 +16,9 @@
 from pomelobend import errors
 from pomelobend.mesh import grace as graces
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 TIMER_SLACK_S = 0.001
 LIMIT_S = 0.4
 ANSWER = b'bells'
@@ -43,11 +47,35 @@
 
 @behave.when('a call comes after {came_s:g} s that ends within {left_s:g} s')
 def when_comes(context: typing.Any, came_s: float, left_s: float) -> None:
+    check_call(context, came_s, left_s, context.grace.check)
+
+
+@behave.when(
+    'a call from another node comes after {came_s:g} s that ends within '
+    '{left_s:g} s and {kind}'
+)
+def when_taken_over(
+    context: typing.Any, came_s: float, left_s: float, kind: str
+) -> None:
+    check = functools.partial(
+        context.grace.check_served, is_idempotent=kind == 'may be repeated'
+    )
+    check_call(context, came_s, left_s, check)
+
+
+def check_call(
+    context: typing.Any,
+    came_s: float,
+    left_s: float,
+    check: abc.Callable[[float], None],
+) -> None:
+    """Check a call that comes after SIGTERM; note the outcome."""
+
     async def act() -> None:
         begin(context)
         await asyncio.sleep(came_s)
         try:
-            context.grace.check(context.clock.monotonic() + left_s)
+            check(context.clock.monotonic() + left_s)
         except errors.CallRefusedError as refusal:
             assert refusal.run is errors.Run.NOT_RUN
             assert refusal.reason is errors.Reason.STOPPING
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -137,6 +137,14 @@
 async def send_from_node(context: typing.Any, late_s: float) -> Request:
     """Send a call late over a connection of another node."""
     request = Request('late', NODE)
+    await send_call_from_node(context, late_s, request)
+    return request
+
+
+async def send_call_from_node(
+    context: typing.Any, late_s: float, request: Request
+) -> None:
+    """Send a call that may not be repeated late from another node."""
     (port,) = fleet.free_ports(1)
     pool = pool_steps.open_pool('other', f'127.0.0.1:{port}')
     context.stack.push_async_callback(pool.close)
@@ -177,7 +185,6 @@
     except errors.CallRefusedError as refusal:
         is_not_run = refusal.run is errors.Run.NOT_RUN
         request.status = 503 if is_not_run else 0
-    return request
 
 
 _WAYS = {
@@ -237,6 +244,23 @@
     context.run(act())
 
 
+@behave.when(
+    'a booking of {work_s:d} s with {left_s:d} s left comes from another node'
+    ' {late_s:d} s after SIGTERM to a node'
+)
+def when_taken_over(
+    context: typing.Any, work_s: int, left_s: int, late_s: int
+) -> None:
+    context.request = Request('late', NODE, work_s=work_s, deadline_s=left_s)
+
+    async def act() -> None:
+        await send_call_from_node(context, late_s, context.request)
+        await context.mesh.vms[NODE].node.wait(EXIT_S)
+        context.runs = await runs(context)
+
+    context.run(act())
+
+
 @behave.then('the call receives a complete answer')
 def then_answered(context: typing.Any) -> None:
     assert context.request.status, context.request
