--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -13,6 +13,21 @@
       | 2.6    | 2.8    | refused  |
       | 5.0    | 0.5    | refused  |
 
+  Scenario Outline: a call that another node sends <came_s> s after SIGTERM, ends within <left_s> s and <kind> is <outcome>
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call from another node comes after <came_s> s that ends within <left_s> s and <kind>
+    Then it is <outcome> as far as the grace period goes
+
+    Examples:
+      | came_s | left_s | kind                | outcome  |
+      | 0.0    | 5.2    | may not be repeated | accepted |
+      | 0.0    | 5.4    | may not be repeated | refused  |
+      | 2.4    | 2.8    | may not be repeated | accepted |
+      | 2.4    | 9.0    | may not be repeated | refused  |
+      | 2.4    | 9.0    | may be repeated     | accepted |
+      | 2.6    | 2.8    | may be repeated     | refused  |
+      | 2.6    | 2.6    | may be repeated     | accepted |
+
   # Guards against calls that are accepted when no reply is given any more.
   Scenario: a call that comes late in a short grace period is refused
     Given a node that has received SIGTERM with a grace period of 2 s
@@ -56,6 +71,22 @@
       | 5.9    | 2.5       | 5.95      | 5.95    | 6.0      |
       | 7.0    | 2.5       | 7.05      | 7.05    | 7.1      |
 
+  # Guards against a process that is killed, or breaks off calls too early, as
+  # the time of SIGTERM is not known.
+  Scenario Outline: SIGTERM may have come up to <unsure_s> s before it is noted
+    Given a node that has received SIGTERM with a grace period of <grace_s> s
+    When SIGTERM is noted <unsure_s> s after its earliest time while a call of <grace_s> s waits
+    Then its caller is replied to <reply_s> s after SIGTERM
+    And calls of any length are accepted until 2.5 s, connections until <listens_s> s, and closed <closes_s> s after SIGTERM
+
+    Examples:
+      | grace_s | unsure_s | listens_s | reply_s | closes_s |
+      | 6       | 0.0      | 2.5       | 5.3     | 5.4      |
+      | 6       | 0.2      | 2.7       | 5.3     | 5.4      |
+      | 6       | 0.5      | 3.0       | 5.5     | 5.6      |
+      | 6       | 0.9      | 3.4       | 5.6     | 5.7      |
+      | 10      | 0.8      | 3.3       | 9.3     | 9.4      |
+
   # Guards against 504 for an answer that arrived in time, as the loop was held
   # up and its timers run before its sockets are read.
   @uvloop
