Start: a node that gets SIGTERM before it listens ends at once

A node that had got SIGTERM before its sockets were open loaded all its modules, started, accepted calls and only then stopped: the signals held were looked at only while an address was in use. They are looked at before the first address is taken now. Nobody has connected then, so nothing is lost.

A signal during the rest of the start is handled as before, since callers may have connected: a start that takes longer than the grace period after it still ends with -9.

--- a/pomelobend/listening.py
+++ b/pomelobend/listening.py
@@ -41,7 +41,8 @@
     report : callable
         Called once with the first address in use and the reason.
     is_stopped : callable
-        Returns whether to give up waiting.
+        Returns whether a signal to stop has come. No address is taken then,
+        and waiting is given up.
 
     Raises
     ------
@@ -54,6 +55,8 @@
     _check_distinct([address for address, _ in waiting])
     sockets: dict[str, socket.socket] = {}
     is_reported = False
+    if is_stopped():
+        raise errors.StartStoppedError('before an address was taken')
     while True:
         in_use = {}
         for address, attempt in waiting:
--- a/tests/steps/test_mesh_signals.py
+++ b/tests/steps/test_mesh_signals.py
@@ -297,9 +297,17 @@
     async def act() -> None:
         vm.node.signal(signal.SIGKILL)
         await vm.node.wait(STOP_S)
+        context.log_size = len(vm.node.log.read_text())
         start_with_site(context, f'import time\ntime.sleep({start_s})\n')
         await asyncio.sleep(after_s)
         vm.node.signal(signal.Signals[kind])
         await asyncio.sleep(start_s)
 
     context.run(act())
+
+
+@behave.then('the node has not been started')
+def then_not_started(context: typing.Any) -> None:
+    vm = context.mesh.vms[NODE]
+    text = vm.node.log.read_text()
+    assert 'node: st' not in text[context.log_size :], text
