Output: processes that share the output of a node still wait for its reader

Processes that were started with the same pipe as standard error of a node would have seen writes fail (BlockingIOError) where they had waited: a node made its standard streams non-blocking, and the flag belongs to the open file that they share.

A pipe or a device is opened again for the node alone now, by /proc/self/fd. Where that fails (a socket, a pipe without a reader, another owner), the shared file is made non-blocking as before. Regular files are left alone.

--- a/pomelobend/standard_streams.py
+++ b/pomelobend/standard_streams.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import os
+import stat
 import sys
 
 INPUT, OUTPUT, ERROR = range(3)
@@ -81,7 +82,7 @@
     for descriptor in (INPUT, OUTPUT, ERROR):
         _open_if_closed(descriptor)
     for stream in (output, error):
-        os.set_blocking(stream.descriptor, False)
+        _stop_waiting(stream.descriptor)
     sys.stdout, sys.stderr = output, error
 
 
@@ -90,3 +91,22 @@
         os.fstat(descriptor)
     except OSError:
         os.open(os.devnull, os.O_RDWR)
+
+
+def _stop_waiting(descriptor: int) -> None:
+    """Let writes to a descriptor fail where they would wait.
+
+    The flag belongs to the open file, which other processes may share. So a
+    pipe or a device is opened again, for this process alone, where it can be.
+    """
+    mode = os.fstat(descriptor).st_mode
+    if stat.S_ISREG(mode):
+        return
+    flags = os.O_WRONLY | os.O_NONBLOCK | os.O_NOCTTY
+    try:
+        own = os.open(f'/proc/self/fd/{descriptor}', flags)
+    except OSError:
+        os.set_blocking(descriptor, False)
+        return
+    os.dup2(own, descriptor)
+    os.close(own)
--- a/tests/mesh/test_mesh_output.feature
+++ b/tests/mesh/test_mesh_output.feature
@@ -44,3 +44,9 @@
     When a line of 100000 bytes and a short one are logged to a pipe that is read in between
     Then the short line is read whole
     And one lost write is counted
+
+  # Guards against writes that fail in the processes that share the output.
+  Scenario: a process that shares its output with a node may still wait for the reader
+    When a program with the logs of a node writes to a pipe that another process shares
+    Then the program ends with 0
+    And writes of the other process still wait for the reader
--- a/tests/steps/test_mesh_output.py
+++ b/tests/steps/test_mesh_output.py
@@ -249,3 +249,20 @@
 @behave.then('one lost write is counted')
 def then_one_lost(context: typing.Any) -> None:
     assert context.stream.lost == 1
+
+
+@behave.when(
+    'a program with the logs of a node writes to a pipe that another process '
+    'shares'
+)
+def when_shared(context: typing.Any) -> None:
+    reader, context.shared = os.pipe()
+    for descriptor in (reader, context.shared):
+        context.stack.callback(os.close, descriptor)
+    options = {'stdout': context.shared, 'stderr': context.shared}
+    end(context, '-c', LIBRARY_ERRORS, '1', **options)
+
+
+@behave.then('writes of the other process still wait for the reader')
+def then_waits(context: typing.Any) -> None:
+    assert os.get_blocking(context.shared)
