Tests: a request that its node reads late is answered in time (known red)

Callers see: a node that was held up for 0.4 s reads a request of 1.0 s, and the caller leaves before its answer, which comes 0.95 s after the reading.

Not mended: when the request came is not known, and a mend that counts from when the loop last ran shortens calls that came last.

--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -29,3 +29,10 @@
       | POST   | 500         |
       | POST   | 1000        |
       | GET    | 1000        |
+
+  # Guards against a deadline that counts from the reading of a request.
+  Scenario: a call that its node reads late, as it was held up, is answered in time
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a caller that leaves after 1000 ms sends a POST call of 5 s to a node that is held up for 0.4 s
+    Then the caller has an answer of the target
--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -76,6 +76,25 @@
     context.answer = context.run(_answer(context, method, deadline_ms))
 
 
+@behave.when(
+    'a caller that leaves after {deadline_ms:d} ms sends a {method:w} call '
+    'of 5 s to a node that is held up for {held_s:f} s'
+)
+def when_read_late(
+    context: typing.Any, deadline_ms: int, method: str, held_s: float
+) -> None:
+    node = context.mesh.vms[held_up_steps.NODE].node
+
+    async def act() -> None:
+        node.signal(signal.SIGSTOP)
+        call = start_call(context, method, deadline_ms)
+        await asyncio.sleep(held_s)
+        node.signal(signal.SIGCONT)
+        context.answer = await call
+
+    context.run(act())
+
+
 async def _answer(
     context: typing.Any, method: str, deadline_ms: int
 ) -> tuple[int, dict[str, str], str]:
