Tests: a call that is read late at its target has the target's answer (known red)

Callers see an own 504 of their node, without signature, about 45 ms before their deadline, while the target is at work: the node of the target read the call 30 ms late, so the target ends that much later, and ANSWER_TRAVEL_S is 20 ms. After SIGTERM of the caller's node that is an answer of its own in place of a run at work; before it came after the deadline, which LOST excuses.

--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -83,13 +83,34 @@
 def when_read_late(
     context: typing.Any, deadline_ms: int, method: str, held_s: float
 ) -> None:
-    node = context.mesh.vms[held_up_steps.NODE].node
+    send_held_up(context, deadline_ms, method, [held_up_steps.NODE], held_s)
+
+
+@behave.when(
+    'a caller that leaves after {deadline_ms:d} ms sends a {method:w} call '
+    'of 5 s, which the nodes of its targets read {held_s:f} s late'
+)
+def when_targets_read_late(
+    context: typing.Any, deadline_ms: int, method: str, held_s: float
+) -> None:
+    send_held_up(context, deadline_ms, method, held_up_steps.TARGETS, held_s)
+
+
+def send_held_up(
+    context: typing.Any,
+    deadline_ms: int,
+    method: str,
+    names: typing.Iterable[str],
+    held_s: float,
+) -> None:
+    """Send a call while some nodes are held up; note its answer."""
+    nodes = [context.mesh.vms[name].node for name in names]
 
     async def act() -> None:
-        node.signal(signal.SIGSTOP)
+        holding = asyncio.create_task(held_up_steps.hold_up(nodes, held_s))
+        await asyncio.sleep(0)
         call = start_call(context, method, deadline_ms)
-        await asyncio.sleep(held_s)
-        node.signal(signal.SIGCONT)
+        await holding
         context.answer = await call
 
     context.run(act())
