Tests: the exit of a node that stops late shows its log

A stop beside a target that runs nothing took 4.41 s once, and the test kept nothing that tells why. It prints the lines of the node from SIGTERM on.

--- a/tests/steps/test_mesh_nested_stop.py
+++ b/tests/steps/test_mesh_nested_stop.py
@@ -19,6 +19,7 @@
 CALLER_S = 1.0
 NESTED_S = 0.4
 REFUSALS = (503, 429, 408, 421)
+STOP_WORDS = ('node: ', 'peers: ', 'http: ', 'registry: ')
 
 
 async def book(
@@ -59,6 +60,7 @@
 
 async def end(context: typing.Any, name: str) -> None:
     """Wait for the end of a node that stops."""
+    context.ending = name
     context.code = await context.mesh.vms[name].node.wait(stop_steps.EXIT_S)
     context.ended_at = time.monotonic()
 
@@ -164,10 +166,21 @@
     context.run(act())
 
 
+def stop_lines(context: typing.Any) -> str:
+    """Return the lines of a node about its stop and its connections."""
+    log = context.mesh.vms[context.ending].node.log.read_text()
+    kept = [
+        line
+        for line in log[log.rfind('node: stopping') :].splitlines()
+        if any(word in line for word in STOP_WORDS)
+    ]
+    return '\n'.join([f'exit {context.code}', *kept])
+
+
 @behave.then('the node has exited {from_s:g} to {to_s:g} s after SIGTERM')
 def then_exited(context: typing.Any, from_s: float, to_s: float) -> None:
     took_s = context.ended_at - context.stopped_at
-    assert from_s <= took_s <= to_s, took_s
+    assert from_s <= took_s <= to_s, (took_s, stop_lines(context))
     assert context.code == 0, context.code
 
 
