Ends of calls: more time for the answers of targets, less for the reply

Callers would have seen, found by the review: the own 504 of their node 45 ms before their deadline while the target was at work, where the node at the target had read the call 30 ms late.

Cause: the node at the target counts the time of a call from when it reads it, and only 20 ms were kept back for that, 50 ms for the reply.

Now the reply leaves 30 ms before the caller does, targets are told 40 ms less still; together as before. Later than 40 ms the own 504 still comes first.

--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -10,12 +10,12 @@
 
 from pomelobend import limits
 
-REPLY_TRAVEL_S = 0.05
-"""Time for a reply to reach its caller. A processor quota may hold up the
-node for half of a tenth of a second meanwhile."""
+REPLY_TRAVEL_S = 0.03
+"""Time for a reply to reach its caller, short delays of the node included."""
 
-ANSWER_TRAVEL_S = 0.02
-"""Time for the last answer of a target to reach the node of the caller."""
+ANSWER_TRAVEL_S = 0.04
+"""Time for the last answer of a target to reach the node of the caller. The
+node at the target counts the time of a call from when it reads it."""
 
 MAX_SHARE = 0.05
 """Largest share of the time of a caller that either of them may take."""
