--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,7 +25,8 @@
 ATTEMPTS = 2
 CONNECT_S = 1.0
 UNREAD_S = 1.0
-PATIENCE_S = 0.05
+PATIENCE_S = 0.0
+"""Callers leave at their deadline."""
 PAUSE_S = 0.7
 PROMISES = (503, 429, 408, 421)
 FINAL = (400, 401, 404, 413, 431)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,9 @@
 CROSSING_S = 0.2
 """Time after its last byte in which a request may cross a close."""
 
+NEAR_S = 0.1
+"""Time around a moment in which a held-up soak makes it uncertain."""
+
 GRACE_S = 6.0
 LATE_SENT_S = 3.0
 GONE_S = 0.5
@@ -32,6 +35,12 @@
 UNPLANNED = AT_NODES | AT_TARGETS
 """Load by other processes is not among them: no rule excuses it."""
 
+SHORT_OF_TIME = 'short-of-time'
+"""A node got no processor time for a moment; no rule excuses it either."""
+
+SILENCING = AT_NODES | {SHORT_OF_TIME}
+"""After these a node may be unable to answer by a deadline."""
+
 STARTS = frozenset({'term', 'early', 'start', 'swap', 'crowd'})
 CLOSES_ALLOWED = 3
 REFUSALS = (503, 429, 408, 421)
@@ -41,6 +50,7 @@
 EXCUSED_CLOSE = 'closed after its run, excused'
 CLOSED_LATE = 'closed late, not run'
 NO_ANSWER = 'no answer in time'
+UNSURE = 'no answer in time, soak held up'
 CUT = 'own 502/504 after SIGTERM, target at work'
 EXCUSED = 'own 502/504 after SIGTERM, excused'
 READY = 'own 502/504 after SIGTERM, target had finished'
@@ -54,7 +64,7 @@
 GONE = 'ran after its client had left'
 
 GRAVE = (CLOSED_RUN, CLOSED_LATE, CUT, READY, TWICE, REFUSED_RUN, OTHERS)
-USUAL = frozenset({EXCUSED, LIMIT, TURNED_AWAY})
+USUAL = frozenset({EXCUSED, LIMIT, TURNED_AWAY, UNSURE})
 """Classes whose findings are only counted."""
 
 
@@ -84,9 +94,16 @@
 
     @property
     def is_grave(self) -> bool:
-        """Return whether a rule may be broken: nothing excuses it."""
+        """Return whether a rule may be broken: nothing excuses it.
+
+        What is done to other VMs does not excuse a node that lets a caller
+        wait past its deadline.
+        """
+        if self.label == NO_ANSWER:
+            return SILENCING.isdisjoint(self.own)
         is_calm = UNPLANNED.isdisjoint(self.own + self.there)
-        is_counted = self.label != CLOSED_LATE or bool(self.own)
+        is_beside = bool(set(self.own) - {SHORT_OF_TIME})
+        is_counted = self.label != CLOSED_LATE or is_beside
         return self.label in GRAVE and is_calm and is_counted
 
 
@@ -119,12 +136,12 @@
     world: worlds.World, request: clients.Request, runs: list[Run]
 ) -> str:
     """Return the class of a request, or '' if nothing was lost."""
-    if request.method == 'POST' and len(runs) > 1:
+    if request.method != 'GET' and len(runs) > 1:
         return TWICE
     if request.is_signed:
         is_own = request.echo in ('', request.identity)
         return '' if is_own else OTHERS
-    if request.status in REFUSALS and request.method == 'POST':
+    if request.status in REFUSALS and request.method != 'GET':
         return REFUSED_RUN if runs else ''
     if any(run.began > request.ended_at + GONE_S for run in runs):
         return GONE
@@ -132,7 +149,7 @@
         return ''
     limit_s = min(request.deadline_s, request.route_limit_s)
     if request.error == 'no answer':
-        return NO_ANSWER
+        return UNSURE if _is_unsure(world, request) else NO_ANSWER
     if request.ended_at - request.sent_at >= limit_s - ALLOWANCE_S:
         return LIMIT
     if request.status in FAILURES + REFUSALS and runs:
@@ -149,6 +166,20 @@
     return TURNED_AWAY if request.is_nested else ''
 
 
+def _is_unsure(world: worlds.World, request: clients.Request) -> bool:
+    """Return whether the soak may itself have missed an answer in time.
+
+    It has not sent the whole request, or was held up after the first byte or
+    when it left.
+    """
+    began, ended = request.sent_at, request.ended_at
+    return (
+        not request.last_byte_at
+        or world.lag_s(began, began + NEAR_S) > 0
+        or world.lag_s(ended - NEAR_S, ended) > 0
+    )
+
+
 def _is_late(world: worlds.World, request: clients.Request) -> bool:
     """Return whether it ended too late to cross a close.
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -187,29 +187,34 @@
 ) -> bool:
     """Send a request, read its answer; return whether more may follow.
 
-    An answer is awaited until some seconds after the deadline.
+    An answer is awaited until ``patience_s`` after the deadline, and counts
+    if it has arrived by then, also where the soak reads it later.
     """
+    writer.write(request.head())
     request.sent_at = time.time()
     sending = asyncio.create_task(_send(request, writer))
+    receiving = asyncio.create_task(_receive(request, reader))
     try:
-        async with asyncio.timeout(request.deadline_s + patience_s):
-            return await _receive(request, reader)
-    except TimeoutError:
+        await asyncio.wait(
+            {receiving}, timeout=request.deadline_s + patience_s
+        )
+        if receiving.done():
+            return receiving.result()
         request.error = 'no answer'
     except (EOFError, OSError, ValueError) as error:
         request.error = request.error or type(error).__name__
     finally:
         request.ended_at = time.time()
+        receiving.cancel()
         sending.cancel()
     return False
 
 
 async def _send(request: Request, writer: asyncio.StreamWriter) -> None:
-    """Send a request, large bodies in parts with pauses."""
+    """Send the body of a request, large ones in parts with pauses."""
     with contextlib.suppress(OSError):
         count = UPLOAD_PARTS if request.body_bytes > 2000 else 1
         part = b'x' * (request.body_bytes // count)
-        writer.write(request.head())
         for _ in range(count - 1):
             writer.write(part)
             await writer.drain()
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -102,6 +102,12 @@
 
     Without kinds, clients send lookups and bookings (``clients``), else
     those of each domain send the kinds by their shares (``callers``).
+
+    Parameters
+    ----------
+    layout : tuple of str
+        Services of the VMs in their order, or none if each service has a VM
+        in each domain.
     """
 
     domains: tuple[str, ...]
@@ -109,11 +115,14 @@
     slots: int
     paths: tuple[str, ...]
     kinds: tuple[Kind, ...] = ()
+    layout: tuple[str, ...] = ()
 
     def place(self, number: int) -> tuple[str, str]:
         """Return failure domain and service of the VM of a number."""
         row, column = divmod(number, len(self.domains))
         service = self.services[row % len(self.services)]
+        if self.layout:
+            service = self.layout[number % len(self.layout)]
         return self.domains[column], service
 
     def document(self, version: int, rng: random.Random) -> dict:
@@ -199,3 +208,68 @@
         Kind('roster', 'ledger', 'GET', work_s=0.04, deadline_s=0.5),
     ),
 )
+
+LONGER_DEADLINES = Deployment(
+    domains=('upper', 'middle', 'lower'),
+    services=('drawings', 'wages', 'pitches', 'trucks'),
+    slots=9,
+    paths=('/draw/a', '/wage/a', '/pitch/a', '/truck/a'),
+    layout=(
+        *('drawings', 'wages', 'pitches', 'trucks', 'drawings'),
+        *('wages', 'wages', 'pitches', 'drawings', 'drawings'),
+        *('trucks', 'pitches', 'pitches', 'drawings', 'trucks'),
+    ),
+    kinds=(
+        Kind(
+            'draw',
+            'drawings',
+            'GET',
+            work_s=0.2,
+            deadline_s=2.5,
+            share=0.58,
+            nested=Nested('balance', count=1, work_s=0.055, limit_s=0.6),
+            bytes_down=5000,
+            route_limit_s=1.2,
+        ),
+        Kind(
+            'wage',
+            'wages',
+            'POST',
+            work_s=0.22,
+            deadline_s=3.0,
+            share=0.16,
+            spread=0.8,
+            is_kept=True,
+            also='drawings',
+            nested=Nested('index', count=1, work_s=0.055, limit_s=0.6),
+            bytes_up=300,
+            bytes_down=400,
+            route_limit_s=1.5,
+        ),
+        Kind(
+            'pitch',
+            'pitches',
+            'GET',
+            work_s=0.5,
+            deadline_s=6.0,
+            share=0.19,
+            is_kept=True,
+            nested=Nested('yard', count=1, work_s=0.055, limit_s=0.6),
+            bytes_down=400,
+            route_limit_s=3.0,
+        ),
+        Kind(
+            'truck',
+            'trucks',
+            'DELETE',
+            work_s=0.14,
+            deadline_s=2.0,
+            share=0.07,
+            spread=0.8,
+            route_limit_s=1.0,
+        ),
+        Kind('balance', 'wages', 'GET', work_s=0.055, deadline_s=0.6),
+        Kind('index', 'pitches', 'GET', work_s=0.055, deadline_s=0.6),
+        Kind('yard', 'trucks', 'GET', work_s=0.055, deadline_s=0.6),
+    ),
+)
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -14,6 +14,62 @@
       | nothing | POST   | 503    | 1        |
       | pause   | GET    | 502    | 0        |
       | crash   | GET    | 502    | 0        |
+      | short-of-time | GET | 502 | 1        |
+      | short-of-time | POST | 504 | 1       |
+
+  Scenario Outline: a caller that gets no answer by its deadline
+    Given a soak in which <trouble> was done to <vm> beside requests
+    When a caller leaves the node of caller-vm at its deadline
+    Then the soak finds <problems> problems
+
+    Examples:
+      | trouble       | vm        | problems |
+      | busy          | *         | 1        |
+      | term          | caller-vm | 1        |
+      | store         | *         | 1        |
+      | crash         | target-vm | 1        |
+      | pause         | target-vm | 1        |
+      | short-of-time | target-vm | 1        |
+      | pause         | caller-vm | 0        |
+      | kill          | caller-vm | 0        |
+      | short-of-time | caller-vm | 0        |
+
+  Scenario Outline: a caller that leaves while the soak may miss the answer
+    Given a soak that was held up for 0.05 s, <offset> s after the request
+    When a caller leaves the node of caller-vm at its deadline
+    Then the soak finds <problems> problems
+
+    Examples:
+      | offset | problems |
+      | 0.02   | 0        |
+      | 2.96   | 0        |
+      | 1.00   | 1        |
+
+  Scenario Outline: a close that comes late without a run
+    Given a soak in which <trouble> was done to <vm> beside requests
+    When the node of caller-vm closes a connection late, without a run
+    Then the soak finds <problems> problems
+
+    Examples:
+      | trouble       | vm        | problems |
+      | term          | caller-vm | 1        |
+      | config        | *         | 1        |
+      | busy          | *         | 1        |
+      | short-of-time | caller-vm | 0        |
+      | pause         | caller-vm | 0        |
+
+  Scenario Outline: requests that may run once
+    Given a soak in which busy was done to * beside requests
+    When a <method> that has run <runs> times is answered with <status>
+    Then the soak finds <problems> problems
+
+    Examples:
+      | method | runs | status | problems |
+      | DELETE | 2    | 502    | 1        |
+      | DELETE | 1    | 503    | 1        |
+      | POST   | 2    | 502    | 1        |
+      | POST   | 1    | 503    | 1        |
+      | GET    | 2    | 503    | 0        |
 
   Scenario Outline: closes of kept connections by a node in touch
     Given a soak in which <trouble> was done to <vm> beside requests
@@ -27,6 +83,7 @@
       | kill    | other-vm  | 3     | kept | 3       | kept   |
       | pause   | target-vm | 4     | kept | 4       | broken |
       | busy    | *         | 4     | kept | 4       | broken |
+      | short-of-time | caller-vm | 4 | kept | 4     | broken |
       | store   | *         | 4     | kept | 4       | broken |
       | kill    | other-vm  | 4     | new  | 0       | kept   |
       | pause   | caller-vm | 4     | kept | 0       | kept   |
@@ -40,3 +97,20 @@
   Scenario: a client learns whether a node has read its request
     When a client sends bytes that the other end does not read
     Then they are unread until it reads them
+
+  Scenario: the answer that has come by the deadline is read by a late soak
+    When a caller is held up past its deadline, beside an answer that has come
+    Then it has the answer
+
+  Scenario: a caller leaves at its deadline
+    When a caller waits 0.3 s for an answer that does not come
+    Then it has left within 0.2 s of its deadline
+
+  Scenario Outline: services of the VMs of a deployment
+    Then <count> VMs with longer deadlines have <drawings>, <wages>, <pitches>, <trucks> of the four services
+    And each service of <count> VMs has two domains at least
+
+    Examples:
+      | count | drawings | wages | pitches | trucks |
+      | 15    | 5        | 3     | 4       | 3      |
+      | 12    | 4        | 3     | 3       | 2      |
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import time
 import types
 import typing
 
@@ -10,10 +12,12 @@
 
 from soak import checks
 from soak import clients
+from soak import deployments
 from soak import unread
 from soak import world as worlds
 
 BEGAN = 1000.0
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
 
 def _world(*events: worlds.Event) -> worlds.World:
@@ -38,7 +42,7 @@
 
 
 @behave.given(
-    'a soak in which {trouble:w} was done beside the SIGTERM of a node'
+    'a soak in which {trouble} was done beside the SIGTERM of a node'
 )
 def given_term(context: typing.Any, trouble: str) -> None:
     vm = {'busy': '*', 'crash': 'target-vm'}.get(trouble, 'caller-vm')
@@ -63,7 +67,7 @@
     assert len(found) == count, found
 
 
-@behave.given('a soak in which {trouble:w} was done to {vm} beside requests')
+@behave.given('a soak in which {trouble} was done to {vm} beside requests')
 def given_trouble(context: typing.Any, trouble: str, vm: str) -> None:
     context.world = _world(worlds.Event(trouble, vm, BEGAN, BEGAN + 1.5))
 
@@ -140,3 +144,117 @@
 @behave.then('they are unread until it reads them')
 def then_unread(context: typing.Any) -> None:
     assert context.seen == [True, False], context.seen
+
+
+@behave.when('a caller leaves the node of caller-vm at its deadline')
+def when_left(context: typing.Any) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + request.deadline_s
+    request.error = 'no answer'
+    context.findings = _findings(context, [request])
+
+
+@behave.given(
+    'a soak that was held up for {seconds:g} s, {offset:g} s after the request'
+)
+def given_lag_beside(
+    context: typing.Any, seconds: float, offset: float
+) -> None:
+    context.world = _world()
+    began = BEGAN + 1 + offset
+    context.world.lags.append((began, began + seconds))
+
+
+@behave.when('the node of caller-vm closes a connection late, without a run')
+def when_closed_late(context: typing.Any) -> None:
+    context.findings = checks.judge(context.world, [_request()])
+
+
+@behave.when(
+    'a {method:w} that has run {count:d} times is answered with {status:d}'
+)
+def when_run(
+    context: typing.Any, method: str, count: int, status: int
+) -> None:
+    request = _request(method=method)
+    request.status = status
+    spans = [[BEGAN + 1.1, BEGAN + 1.2]] * count
+    context.world.reports.append(
+        ('target-vm', {'spans': {request.identity: spans}})
+    )
+    context.findings = checks.judge(context.world, [request])
+
+
+async def _exchange(
+    answer: bytes, busy_s: float, limit_s: float
+) -> typing.Any:
+    """Return a request whose caller is held up, and how late it left."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(clients.HEAD_END)
+        writer.write(answer)
+        if busy_s:
+            time.sleep(busy_s)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    reader, writer = await asyncio.open_connection(
+        *server.sockets[0].getsockname()
+    )
+    request = _request()
+    request.deadline_s = limit_s
+    await clients.exchange(request, reader, writer, 0.0)
+    writer.close()
+    server.close()
+    return request, request.ended_at - request.sent_at - limit_s
+
+
+@behave.when(
+    'a caller is held up past its deadline, beside an answer that has come'
+)
+def when_held_up(context: typing.Any) -> None:
+    context.seen = context.run(_exchange(ANSWER, 0.3, 0.1))
+
+
+@behave.then('it has the answer')
+def then_answer(context: typing.Any) -> None:
+    request, _ = context.seen
+    assert (request.status, request.error) == (200, ''), request
+
+
+@behave.when('a caller waits {limit_s:g} s for an answer that does not come')
+def when_waiting(context: typing.Any, limit_s: float) -> None:
+    context.seen = context.run(_exchange(b'', 0.0, limit_s))
+
+
+@behave.then('it has left within {seconds:g} s of its deadline')
+def then_left(context: typing.Any, seconds: float) -> None:
+    request, late_s = context.seen
+    assert request.error == 'no answer', request
+    assert 0 <= late_s < seconds, late_s
+
+
+def _placed(count: int) -> list[tuple[str, str]]:
+    place = deployments.LONGER_DEADLINES.place
+    return [place(number) for number in range(count)]
+
+
+@behave.then(
+    '{count:d} VMs with longer deadlines have {numbers} of the four services'
+)
+def then_layout(context: typing.Any, count: int, numbers: str) -> None:
+    found = collections.Counter(service for _, service in _placed(count))
+    names = deployments.LONGER_DEADLINES.services
+    assert [found[name] for name in names] == [
+        int(part) for part in numbers.split(', ')
+    ], found
+
+
+@behave.then('each service of {count:d} VMs has two domains at least')
+def then_domains(context: typing.Any, count: int) -> None:
+    placed = set(_placed(count))
+    found = collections.Counter(service for _, service in placed)
+    assert min(found.values()) >= 2, placed
