Soaks: nodes short of processor time, which nothing excuses

The mixes shortage-... hold nodes up for 0.1 to 0.6 s (SIGSTOP, SIGCONT) or run busy processes beside planned stops and idle times that change. The hold-ups are noted as `short-of-time`, which is no disruption for the checks. longer and longer-all are mixes of the second deployment.

--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from soak import deployments
 from soak import disturbances as acts
 from soak import report as reports
+from soak import shortages
 from soak import troubles
 from soak import world as worlds
 from standins import fleet
@@ -85,35 +86,71 @@
         leave_share=0.05,
     ),
 }
-MIXES = SHORT_MIXES | {
-    'stops': Mix((*STOPS, acts.hup, acts.configure)),
-    'planned': Mix((*STOPS, acts.hup, acts.configure, acts.replace), MIXED),
-    'pauses': Mix((*STOPS, acts.pause, acts.pause)),
-    'heldup': Mix((acts.stop_held_up, acts.stop_held_up, acts.configure)),
-    'early': Mix((acts.stop_early, acts.stop_early, acts.hup)),
-    'hups': Mix((*STOPS, acts.hup_stopping)),
-    'busy': Mix((*STOPS, acts.busy, acts.hup)),
-    'cuts': Mix((*STOPS, acts.reset, acts.cut)),
-    'replace': Mix((*STOPS, acts.replace, acts.replace)),
-    'nested': Mix(
-        (*STOPS, acts.hup, acts.configure), clients.Habits(nested_share=0.5)
+SHORTAGES = (
+    *(acts.stop, shortages.stop, acts.limit),
+    *(shortages.hold_up, shortages.hold_up, shortages.hold_up_stopping),
+)
+SHORTAGE_MIXES = {
+    'shortage-idle': Mix(SHORTAGES, IDLE),
+    'shortage-short': Mix(SHORTAGES, deployment=deployments.SHORT_DEADLINES),
+    'shortage-longer': Mix(SHORTAGES, deployment=deployments.LONGER_DEADLINES),
+    'shortage-busy': Mix(
+        (*STOPS, acts.limit, acts.busy, shortages.hold_up),
+        deployment=deployments.LONGER_DEADLINES,
     ),
-    'idle': Mix((*STOPS, acts.limit, acts.hup), IDLE),
-    'idlepause': Mix(
-        (acts.stop_held_up, acts.limit, acts.pause, acts.pause), IDLE
-    ),
-    'crowd': Mix(
-        (*STOPS, acts.configure),
-        clients.Habits(clients=80, long_idle_share=0.2, pause_s=3.0),
-    ),
-    'store': Mix((*STOPS, acts.lose_store, acts.configure)),
-    'uploads': Mix(
-        (*STOPS, acts.hup, acts.limit), clients.Habits(upload_share=0.5)
+}
+LONGER_MIXES = {
+    'longer': Mix(
+        (*STOPS, acts.limit, acts.hup),
+        deployment=deployments.LONGER_DEADLINES,
     ),
-    'all': Mix(
-        (*STOPS, acts.limit, acts.replace, acts.lose_store, acts.pause), MIXED
+    'longer-all': Mix(
+        (
+            *(*STOPS, acts.limit, acts.hup, troubles.crash),
+            *(troubles.answer_oddly, troubles.vex_store, troubles.kill),
+        ),
+        deployment=deployments.LONGER_DEADLINES,
+        leave_share=0.05,
     ),
 }
+MIXES = (
+    SHORT_MIXES
+    | SHORTAGE_MIXES
+    | LONGER_MIXES
+    | {
+        'stops': Mix((*STOPS, acts.hup, acts.configure)),
+        'planned': Mix(
+            (*STOPS, acts.hup, acts.configure, acts.replace), MIXED
+        ),
+        'pauses': Mix((*STOPS, acts.pause, acts.pause)),
+        'heldup': Mix((acts.stop_held_up, acts.stop_held_up, acts.configure)),
+        'early': Mix((acts.stop_early, acts.stop_early, acts.hup)),
+        'hups': Mix((*STOPS, acts.hup_stopping)),
+        'busy': Mix((*STOPS, acts.busy, acts.hup)),
+        'cuts': Mix((*STOPS, acts.reset, acts.cut)),
+        'replace': Mix((*STOPS, acts.replace, acts.replace)),
+        'nested': Mix(
+            (*STOPS, acts.hup, acts.configure),
+            clients.Habits(nested_share=0.5),
+        ),
+        'idle': Mix((*STOPS, acts.limit, acts.hup), IDLE),
+        'idlepause': Mix(
+            (acts.stop_held_up, acts.limit, acts.pause, acts.pause), IDLE
+        ),
+        'crowd': Mix(
+            (*STOPS, acts.configure),
+            clients.Habits(clients=80, long_idle_share=0.2, pause_s=3.0),
+        ),
+        'store': Mix((*STOPS, acts.lose_store, acts.configure)),
+        'uploads': Mix(
+            (*STOPS, acts.hup, acts.limit), clients.Habits(upload_share=0.5)
+        ),
+        'all': Mix(
+            (*STOPS, acts.limit, acts.replace, acts.lose_store, acts.pause),
+            MIXED,
+        ),
+    }
+)
 
 
 @attrs.define(eq=False)
