Soaks: the report tells how requests without a status ended

The classes leave out a close that crosses a request and what a caller gave up, so a reader of a report could not tell what the status 0 stood for. Calls of targets are counted apart.

--- a/soak/report.py
+++ b/soak/report.py
@@ -26,10 +26,16 @@
 ) -> str:
     """Return the report as text."""
     statuses = collections.Counter(request.status for request in requests)
+    unanswered = collections.Counter(
+        ('target: ' if request.is_nested else '') + (request.error or 'none')
+        for request in requests
+        if not request.status
+    )
     done = collections.Counter(event.kind for event in world.events)
     keys = collections.Counter(item.key for item in findings)
     lines = [
         f'{len(requests)} requests, {dict(statuses)}, {dict(done)}',
+        f'without a status: {dict(unanswered)}',
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
