Soaks: a stop excuses only what its target was at work on in the last sixth

The rule leaves out a request on which the target was still at work in the last sixth of the grace period. The check looked only at when the request ended, so it also excused an answer that was ready before and that the node did not deliver. 2 of 5 new scenarios fail with the check of before, none now.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -160,7 +160,8 @@
         return f'own {request.status}, not run'
     if runs:
         stop = _stop_at(world, request)
-        return EXCUSED_CLOSE if _excuses(stop, request) else CLOSED_RUN
+        is_excused = _excuses(stop, request, runs)
+        return EXCUSED_CLOSE if is_excused else CLOSED_RUN
     if _is_late(world, request):
         return CLOSED_LATE
     return TURNED_AWAY if request.is_nested else ''
@@ -196,7 +197,7 @@
     stop = _stop_at(world, request)
     if stop is None:
         return ELSEWHERE if request.status in FAILURES else ''
-    if _excuses(stop, request):
+    if _excuses(stop, request, runs):
         return EXCUSED
     ended = request.ended_at
     at_work = any(run.ended >= ended or not run.ended for run in runs)
@@ -214,11 +215,21 @@
     return None
 
 
-def _excuses(stop: worlds.Event | None, request: clients.Request) -> bool:
-    """Return whether a request was sent early and lasted too long."""
+def _excuses(
+    stop: worlds.Event | None, request: clients.Request, runs: list[Run]
+) -> bool:
+    """Return whether a request was sent early and its target took too long.
+
+    Its target must have been at work in the last sixth of the grace period.
+    A run that was dropped counts as at work until the request ended.
+    """
+    if stop is None:
+        return False
+    late = stop.began + GRACE_S * 5 / 6
+    was_at_work = any(run.ended >= late or not run.ended for run in runs)
     return (
-        stop is not None
-        and request.ended_at >= stop.began + GRACE_S * 5 / 6
+        was_at_work
+        and request.ended_at >= late
         and request.sent_at <= stop.began + LATE_SENT_S
     )
 
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -114,3 +114,16 @@
       | count | drawings | wages | pitches | trucks |
       | 15    | 5        | 3     | 4       | 3      |
       | 12    | 4        | 3     | 3       | 2      |
+
+  Scenario Outline: a target is at work in the last sixth of a stop, or not
+    Given a soak in which a node took 6 s after SIGTERM
+    When a request of 1 s after it ends <how> after 5.6 s, its run after <run> s
+    Then the soak finds <problems> problems
+
+    Examples:
+      | how                | run | problems |
+      | without an answer  | 5.3 | 0        |
+      | without an answer  | 0   | 0        |
+      | without an answer  | 4.9 | 1        |
+      | with a 504         | 5.3 | 0        |
+      | with a 504         | 4.9 | 1        |
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -258,3 +258,28 @@
     placed = set(_placed(count))
     found = collections.Counter(service for _, service in placed)
     assert min(found.values()) >= 2, placed
+
+
+@behave.given('a soak in which a node took {seconds:g} s after SIGTERM')
+def given_stop(context: typing.Any, seconds: float) -> None:
+    context.world = _world(
+        worlds.Event('term', 'caller-vm', BEGAN, BEGAN + seconds)
+    )
+
+
+@behave.when(
+    'a request of 1 s after it ends {how} after {end_s:g} s, its run after '
+    '{run_s:g} s'
+)
+def when_ended_late(
+    context: typing.Any, how: str, end_s: float, run_s: float
+) -> None:
+    request = _request()
+    request.deadline_s = request.route_limit_s = 9.0
+    request.ended_at = BEGAN + end_s
+    request.status = 504 if how == 'with a 504' else 0
+    span = [BEGAN + 1.1, BEGAN + run_s if run_s else 0.0]
+    context.world.reports.append(
+        ('target-vm', {'spans': {request.identity: [span]}})
+    )
+    context.findings = checks.judge(context.world, [request])
