Soaks: nodes are held up when their grace period ends, too

The stops of the mixes shortage-... are held up before SIGTERM, when idle connections are closed, or now 4.6 to 5.4 s after SIGTERM, when the last replies are due.

--- a/soak/shortages.py
+++ b/soak/shortages.py
@@ -19,6 +19,9 @@
 LONGEST_S = 0.6
 """Times without processor time."""
 
+END_S = (4.6, 5.4)
+"""Times after SIGTERM around the last sixth of the grace period."""
+
 NOTED_S = 0.05
 """Time without processor time before SIGTERM, which is noted late."""
 
@@ -42,12 +45,15 @@
 
 
 async def stop(world: worlds.World) -> None:
-    """Stop a node that is held up before SIGTERM, or when it closes."""
+    """Stop a node that is held up before SIGTERM, or later.
+
+    Later is when it closes idle connections, or when its grace period ends.
+    """
     with acts.hold(world) as name:
         if not name:
             return
         rng = world.random
-        after_s = rng.choice((0.0, rng.uniform(2.2, 2.8)))
+        after_s = rng.choice((0.0, rng.uniform(2.2, 2.8), rng.uniform(*END_S)))
         task = asyncio.create_task(
             _hold_up(world, name, after_s, _length_s(world))
         )
