--- a/tests/mesh/test_mesh_held_up.feature
+++ b/tests/mesh/test_mesh_held_up.feature
@@ -50,3 +50,12 @@
     And the node has exited within its grace period
     And the call that ends before the last sixth of the grace period has the answer of its target
     And the call that lasts longer has an answer from the last sixth of the grace period
+
+  # Guards against a close without replies after the end of the grace period.
+  Scenario: a node is held up over the end of its grace period
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a node with calls in flight gets SIGTERM and is held up from 4.2 s to 5.6 s after it
+    Then the node has stopped by itself
+    And the call that ends before the last sixth of the grace period has the answer of its target
+    And the call that lasts longer has an answer from the last sixth of the grace period
--- a/tests/steps/test_mesh_held_up.py
+++ b/tests/steps/test_mesh_held_up.py
@@ -168,19 +168,13 @@
 def when_held_up_at_stop(
     context: typing.Any, held_s: float, after_s: float
 ) -> None:
-    context.timely = stop_steps.Request(
-        'timely', NODE, work_s=TIMELY_S, deadline_s=11
-    )
-    context.long = stop_steps.Request(
-        'long', NODE, work_s=LONG_S, deadline_s=11
-    )
+    prepare_calls(context)
     context.late = [
         stop_steps.Request(
             f'late-{number}', NODE, work_s=LONG_S, deadline_s=11
         )
         for number in range(LATE_CALLS)
     ]
-    context.ends = {}
     node = context.mesh.vms[NODE].node
 
     async def act() -> None:
@@ -203,6 +197,42 @@
     context.run(act())
 
 
+def prepare_calls(context: typing.Any) -> None:
+    """Prepare a call that ends in time and one that lasts too long."""
+    context.timely = stop_steps.Request(
+        'timely', NODE, work_s=TIMELY_S, deadline_s=11
+    )
+    context.long = stop_steps.Request(
+        'long', NODE, work_s=LONG_S, deadline_s=11
+    )
+    context.ends = {}
+
+
+@behave.when(
+    'a node with calls in flight gets SIGTERM and is held up from {from_s:f} '
+    's to {to_s:f} s after it'
+)
+def when_held_up_at_end(
+    context: typing.Any, from_s: float, to_s: float
+) -> None:
+    prepare_calls(context)
+    node = context.mesh.vms[NODE].node
+
+    async def act() -> None:
+        async with asyncio.TaskGroup() as group:
+            for request in (context.timely, context.long):
+                group.create_task(send(context, request))
+            await asyncio.sleep(0.3)
+            stop_steps.stop(context, NODE)
+            group.create_task(wait_for_end(context))
+            await sleep_until(context.stopped_at + from_s)
+            node.signal(signal.SIGSTOP)
+            await sleep_until(context.stopped_at + to_s)
+            node.signal(signal.SIGCONT)
+
+    context.run(act())
+
+
 async def send(context: typing.Any, request: stop_steps.Request) -> None:
     """Send a request on a connection of its own; note when it ended."""
     try:
