--- a/tests/steps/test_mesh_held_up.py
+++ b/tests/steps/test_mesh_held_up.py
@@ -27,6 +27,7 @@
 LATE_CALLS = 8
 LATE_SENT_S = 3.02
 LATE_PAUSE_S = 0.005
+BEFORE_S = 0.3
 MEANWHILE = {'with no other event': 0}
 MEANWHILE['with SIGTERM to the node of its caller'] = signal.SIGTERM
 
@@ -168,7 +169,6 @@
 def when_held_up_at_stop(
     context: typing.Any, held_s: float, after_s: float
 ) -> None:
-    prepare_calls(context)
     context.late = [
         stop_steps.Request(
             f'late-{number}', NODE, work_s=LONG_S, deadline_s=11
@@ -179,9 +179,7 @@
 
     async def act() -> None:
         async with asyncio.TaskGroup() as group:
-            for request in (context.timely, context.long):
-                group.create_task(send(context, request))
-            await asyncio.sleep(0.3)
+            await start_calls(context, group)
             node.signal(signal.SIGSTOP)
             await asyncio.sleep(after_s)
             stop_steps.stop(context, NODE)
@@ -197,8 +195,8 @@
     context.run(act())
 
 
-def prepare_calls(context: typing.Any) -> None:
-    """Prepare a call that ends in time and one that lasts too long."""
+async def start_calls(context: typing.Any, group: asyncio.TaskGroup) -> None:
+    """Send a call that ends in time and one that lasts too long."""
     context.timely = stop_steps.Request(
         'timely', NODE, work_s=TIMELY_S, deadline_s=11
     )
@@ -206,6 +204,9 @@
         'long', NODE, work_s=LONG_S, deadline_s=11
     )
     context.ends = {}
+    for request in (context.timely, context.long):
+        group.create_task(send(context, request))
+    await asyncio.sleep(BEFORE_S)
 
 
 @behave.when(
@@ -215,14 +216,11 @@
 def when_held_up_at_end(
     context: typing.Any, from_s: float, to_s: float
 ) -> None:
-    prepare_calls(context)
     node = context.mesh.vms[NODE].node
 
     async def act() -> None:
         async with asyncio.TaskGroup() as group:
-            for request in (context.timely, context.long):
-                group.create_task(send(context, request))
-            await asyncio.sleep(0.3)
+            await start_calls(context, group)
             stop_steps.stop(context, NODE)
             group.create_task(wait_for_end(context))
             await sleep_until(context.stopped_at + from_s)
