--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -40,7 +40,7 @@
 REPLY_SHARE = 1 / 48
 """The same time as a share of a short grace period."""
 
-UNEXCUSED_SHARE = 5 / 6
+ANSWER_OWED_SHARE = 5 / 6
 """Share of the grace period in which a call at work is owed its answer."""
 
 LEAST_S = 0.2
@@ -185,7 +185,7 @@
     """
     close_s = _close_reserve_s(grace_s)
     reserve_s = close_s + _reply_reserve_s(grace_s)
-    spare_s = (1 - UNEXCUSED_SHARE) * grace_s - reserve_s
+    spare_s = (1 - ANSWER_OWED_SHARE) * grace_s - reserve_s
     return min(max(unsure_s - spare_s, 0.0), close_s / 2)
 
 
--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -55,9 +55,7 @@
     leaves_at = started + requested_s
     most_s = requested_s * MAX_SHARE
     reply = leaves_at - min(REPLY_TRAVEL_S, most_s)
-    target = reply - min(ANSWER_TRAVEL_S, most_s)
-    if started + limit_s < target:
-        target = started + limit_s
+    target = min(reply - min(ANSWER_TRAVEL_S, most_s), started + limit_s)
     # A limit is over only when the loop has read what came before it.
     return Deadlines(
         target, min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S)
