Tests: one line of comment on each regression test; streams taken over once

Comments of two lines, one with the name of a users' rule, are one line now. The program of a node took its standard streams over twice at its start, and opened the output again each time.

--- a/pomelobend/standard_streams.py
+++ b/pomelobend/standard_streams.py
@@ -77,8 +77,10 @@
     """Let the program write to these streams, before it opens a descriptor.
 
     Standard descriptors that are closed are opened, as a socket would take
-    their numbers.
+    their numbers. Once the streams are in place, a call does nothing.
     """
+    if sys.stdout is output and sys.stderr is error:
+        return
     for descriptor in (INPUT, OUTPUT, ERROR):
         _open_if_closed(descriptor)
     for stream in (output, error):
--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -37,8 +37,7 @@
     When a caller that leaves after 1000 ms sends a POST call of 5 s to a node that is held up for 0.4 s
     Then the caller has an answer of the target
 
-  # Guards against an answer of the node's own, before the caller's deadline,
-  # while the target is at work: the rule LOST counts it after SIGTERM.
+  # Guards against a reply of the node itself while the target is at work.
   Scenario: a call that the node of its target reads late has the answer of its target
     Given a mesh with two targets of a service in each of two domains
     And routes whose calls may take 12 s
--- a/tests/mesh/test_mesh_descriptors.feature
+++ b/tests/mesh/test_mesh_descriptors.feature
@@ -1,7 +1,6 @@
 Feature: nodes without free descriptors
 
-  # Guards against a sound target that gets no calls as its node can't open a
-  # connection to it.
+  # Guards against a sound target without calls, as its node can't connect.
   Scenario: a node that is out of descriptors does not take its target for lost
     Given a mesh with two targets of a service in each of two domains
     When a node with at most 100 descriptors starts again
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -46,8 +46,7 @@
       | before it     | 3.0        | 3.0     |
       | after it      | 3.0        | 3.0     |
 
-  # Guards against replies before the last sixth of a short grace period, in
-  # place of answers of targets at work.
+  # Guards against early replies in place of answers of targets at work.
   Scenario Outline: a grace period of <grace_s> s
     Given a node that has received SIGTERM with a grace period of <grace_s> s
     When SIGTERM is handled 0.0 s late while a call of 12 s waits
@@ -90,8 +89,7 @@
       | 5.9    | 2.5       | 5.95      | 5.95    | 6.0      |
       | 7.0    | 2.5       | 7.05      | 7.05    | 7.1      |
 
-  # Guards against a process that is killed, or breaks off calls too early, as
-  # the time of SIGTERM is not known.
+  # Guards against a kill, or calls cut early, as SIGTERM was noted late.
   Scenario Outline: SIGTERM may have come up to <unsure_s> s before it is noted
     Given a node that has received SIGTERM with a grace period of <grace_s> s
     When SIGTERM is noted <unsure_s> s after its earliest time while a call of <grace_s> s waits
--- a/tests/mesh/test_mesh_held_up.feature
+++ b/tests/mesh/test_mesh_held_up.feature
@@ -39,8 +39,7 @@
     Then the lookup is answered by a target
     And the metrics of its node count the answer of a silent node
 
-  # Guards against a grace period that begins when a node that was held up
-  # notes SIGTERM: it accepts calls for too long and is killed before it replies.
+  # Guards against a grace period that begins when SIGTERM is noted late.
   Scenario: a node is held up while SIGTERM arrives
     Given a mesh with two targets of a service in each of two domains
     And routes whose calls may take 12 s
--- a/tests/mesh/test_mesh_signals.feature
+++ b/tests/mesh/test_mesh_signals.feature
@@ -58,8 +58,7 @@
       | SIGHUP  | runs on               |
       | SIGTERM | ends by itself with 0 |
 
-  # Guards against a node that starts and accepts calls after SIGTERM, and is
-  # killed with them at the end of its grace period.
+  # Guards against a node that starts and accepts calls after SIGTERM.
   Scenario: a node that gets SIGTERM before it listens ends without a start
     Given a mesh with two targets of a service in each of two domains
     When a node whose start of Python takes 3 s gets SIGTERM 1 s after its start
--- a/tests/mesh/test_mesh_stop.feature
+++ b/tests/mesh/test_mesh_stop.feature
@@ -13,8 +13,7 @@
       | behind another one on its connection     |
       | from another node                        |
 
-  # Guards against a call that is taken from a node which does not know of the
-  # stop yet, is cut at its end, and may not be sent again.
+  # Guards against a call that is taken during a stop and cut at its end.
   Scenario: a booking from another node that may outlast the grace period is not taken
     Given a mesh with two targets of a service in each of two domains
     And routes whose calls may take 12 s
