Soak: a strict count, and the time that replies at a deadline leave

The soak takes its own lateness off before it counts a request without an answer or a late close; users whose rig does not would count them. Such requests are counted beside now, with what was done to their node, and are no failure. The report also tells how long before their caller leaves the nodes' own 504 came. Scenarios in tests/soak.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -107,6 +107,42 @@
         return self.label in GRAVE and is_calm and is_counted
 
 
+def strict(
+    world: worlds.World, requests: typing.Iterable[clients.Request]
+) -> collections.Counter[str]:
+    """Count what callers have seen if the soak is never held up.
+
+    No lateness of the soak and no disturbance is taken off: each request
+    that ended at its deadline without a byte of an answer, and each close
+    that came late without a run.
+    """
+    plain = attrs.evolve(world, lags=[])
+    found: collections.Counter[str] = collections.Counter()
+    for item in judge(plain, requests):
+        request = item.request
+        is_silent = request.error == 'no answer' and not request.received
+        if is_silent or item.label == CLOSED_LATE:
+            label = NO_ANSWER if is_silent else CLOSED_LATE
+            found[f'{label} | own: {" ".join(item.own)}'] += 1
+    return found
+
+
+def reply_times_left(
+    requests: typing.Iterable[clients.Request],
+) -> list[float]:
+    """Return how long before their deadlines replies of nodes came, in s.
+
+    They are replies 504 of nodes themselves to callers that would have left
+    soon, in order.
+    """
+    times = (
+        request.sent_at + request.deadline_s - request.ended_at
+        for request in requests
+        if request.status == 504 and not request.is_signed
+    )
+    return sorted(left_s for left_s in times if left_s < ALLOWANCE_S)
+
+
 def collect_runs(reports: list[tuple[str, dict]]) -> dict[str, list[Run]]:
     """Return the runs of each request by its attempt id."""
     found: dict[str, list[Run]] = collections.defaultdict(list)
--- a/soak/report.py
+++ b/soak/report.py
@@ -33,11 +33,14 @@
     )
     done = collections.Counter(event.kind for event in world.events)
     keys = collections.Counter(item.key for item in findings)
+    strict = checks.strict(world, requests).most_common()
     lines = [
         f'{len(requests)} requests, {dict(statuses)}, {dict(done)}',
         f'without a status: {dict(unanswered)}',
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
+        *(f'{count:5d} strictly: {key}' for key, count in strict),
+        _reply_times(requests),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
     shown: collections.Counter = collections.Counter()
@@ -48,6 +51,18 @@
     return '\n'.join(lines)
 
 
+def _reply_times(requests: list[clients.Request]) -> str:
+    """Return a line on replies that nodes sent before a deadline."""
+    times = [s * 1000 for s in checks.reply_times_left(requests)]
+    if not times:
+        return 'no replies of nodes at a deadline'
+    middle = times[len(times) // 2]
+    return (
+        f'{len(times)} replies of nodes at a deadline, with {times[0]:.0f} ms '
+        f'left at least, {middle:.0f} ms in the middle'
+    )
+
+
 def _describe(world: worlds.World, item: checks.Finding) -> list[str]:
     request, base = item.request, item.request.sent_at
     vms = {request.vm, *(run.vm for run in item.runs)}
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -45,6 +45,37 @@
       | 2.96   | 0        |
       | 1.00   | 1        |
 
+  Scenario Outline: a strict count takes no lateness of the soak off
+    Given a soak that was held up for 0.05 s, <offset> s after the request
+    When a caller leaves the node of caller-vm with <received> bytes of an answer
+    Then the soak counts <count> requests without an answer strictly
+
+    Examples:
+      | offset | received | count |
+      | 0.02   | 0        | 1     |
+      | 2.96   | 0        | 1     |
+      | 1.00   | 0        | 1     |
+      | 1.00   | 90       | 0     |
+
+  Scenario: a strict count leaves out nothing that was done to a node
+    Given a soak in which pause was done to caller-vm beside requests
+    When a caller leaves the node of caller-vm with 0 bytes of an answer
+    Then the soak counts 1 requests without an answer strictly
+
+  Scenario: a strict count of late closes takes no lateness of the soak off
+    Given a soak that was held up for 0.4 s
+    Then the soak counts a close after 0.5 s strictly as late
+
+  Scenario Outline: the time that replies of nodes leave
+    When a node replies <status> with <left> s left
+    Then <count> replies at a deadline are counted
+
+    Examples:
+      | status | left | count |
+      | 504    | 0.03 | 1     |
+      | 504    | 0.3  | 0     |
+      | 503    | 0.03 | 0     |
+
   Scenario Outline: a close that comes late without a run
     Given a soak in which <trouble> was done to <vm> beside requests
     When the node of caller-vm closes a connection late, without a run
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -194,6 +194,45 @@
     context.world.lags.append((began, began + seconds))
 
 
+@behave.when(
+    'a caller leaves the node of caller-vm with {count:d} bytes of an answer'
+)
+def when_left_after(context: typing.Any, count: int) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + request.deadline_s
+    request.error, request.received = 'no answer', count
+    context.requests = [request]
+
+
+@behave.then('the soak counts {count:d} requests without an answer strictly')
+def then_strictly(context: typing.Any, count: int) -> None:
+    found = checks.strict(context.world, context.requests)
+    labels = [key.partition(' |')[0] for key in found.elements()]
+    assert labels == [checks.NO_ANSWER] * count, found
+
+
+@behave.then('the soak counts a close after {seconds:g} s strictly as late')
+def then_strictly_late(context: typing.Any, seconds: float) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + seconds
+    assert not checks.classify(context.world, request, [])
+    (key,) = checks.strict(context.world, [request])
+    assert key.startswith(checks.CLOSED_LATE), key
+
+
+@behave.when('a node replies {status:d} with {left_s:g} s left')
+def when_replied(context: typing.Any, status: int, left_s: float) -> None:
+    request = _request()
+    request.status = status
+    request.ended_at = request.sent_at + request.deadline_s - left_s
+    context.times = checks.reply_times_left([request])
+
+
+@behave.then('{count:d} replies at a deadline are counted')
+def then_times(context: typing.Any, count: int) -> None:
+    assert len(context.times) == count, context.times
+
+
 @behave.when('the node of caller-vm closes a connection late, without a run')
 def when_closed_late(context: typing.Any) -> None:
     context.findings = checks.judge(context.world, [_request()])
