Soak: mixes open-short and open-longer, whose clients stay with a node that stops

Up to four stops overlap, one of them again right after the start, with SIGHUP, configurations and changing idle times.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -56,6 +56,9 @@
         Idle connections by VM, shared by the callers of a domain.
     leave_share : float
         Share of the requests that it gives up early.
+    stay_share : float
+        Share of the requests that go to nodes that stop, on connections that
+        are open; with it nodes that are not ready are not left.
     prefix : str
         Beginning of its attempt ids.
     """
@@ -66,6 +69,7 @@
     rng: random.Random
     kept: dict[str, list[Connection]]
     leave_share: float = 0.0
+    stay_share: float = 0.0
     prefix: str = ''
     requests: list[clients.Request] = attrs.field(factory=list)
 
@@ -76,8 +80,24 @@
         while not until.is_set():
             await asyncio.sleep(self.rng.expovariate(1 / PAUSE_S))
             (kind,) = self.rng.choices(kinds, shares)
-            vm = self.rng.choice(self.world.domain_of(self.domain))
-            await self.ask(kind, vm)
+            await self.ask(kind, self.choose())
+
+    def choose(self) -> str:
+        """Return the VM to whose node a request goes."""
+        if self.stay_share:
+            names = self.world.all_of(self.domain)
+            stopping = [name for name in names if name in self.world.stopping]
+            if stopping and self.rng.random() < self.stay_share:
+                names = stopping
+            vm = self.rng.choice(names)
+            if self._has_open(vm):
+                return vm
+        return self.rng.choice(self.world.domain_of(self.domain))
+
+    def _has_open(self, vm: str) -> bool:
+        """Return whether it has an open connection to the node of a VM."""
+        idle = self.kept.get(vm, ())
+        return any(not item.reader.at_eof() for item in idle)
 
     async def ask(self, kind: deployments.Kind, vm: str) -> None:
         """Send a request, and once more if it may and need be."""
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -96,6 +96,31 @@
         }
 
 
+@attrs.frozen
+class Targets:
+    """How the targets of a deployment treat load (``standins.backend``).
+
+    Parameters
+    ----------
+    paces : tuple of float
+        Factors of processing times, which the VMs have in turn.
+    """
+
+    queue: int = 0
+    is_silent_when_full: bool = False
+    paces: tuple[float, ...] = (1.0,)
+    connections: int = 10_000
+
+    def options(self, number: int) -> tuple[str, ...]:
+        """Return the arguments of the target of the VM of a number."""
+        return (
+            *('--queue', str(self.queue)),
+            *('--pace', str(self.paces[number % len(self.paces)])),
+            *('--connections', str(self.connections)),
+            *(['--silent-when-full'] if self.is_silent_when_full else []),
+        )
+
+
 @attrs.frozen
 class Deployment:
     """Failure domains, services and kinds of requests.
@@ -116,6 +141,7 @@
     paths: tuple[str, ...]
     kinds: tuple[Kind, ...] = ()
     layout: tuple[str, ...] = ()
+    targets: Targets = Targets()
 
     def place(self, number: int) -> tuple[str, str]:
         """Return failure domain and service of the VM of a number."""
@@ -273,3 +299,41 @@
         Kind('yard', 'trucks', 'GET', work_s=0.055, deadline_s=0.6),
     ),
 )
+
+
+def with_open_connections(
+    deployment: Deployment, targets: Targets, **methods: str
+) -> Deployment:
+    """Return a deployment whose clients keep connections for all kinds.
+
+    Parameters
+    ----------
+    methods : str
+        Methods of kinds by their routes, where they are others.
+    """
+    kinds = (
+        attrs.evolve(
+            kind,
+            is_kept=bool(kind.share),
+            method=methods.get(kind.route, kind.method),
+        )
+        for kind in deployment.kinds
+    )
+    return attrs.evolve(deployment, kinds=tuple(kinds), targets=targets)
+
+
+SHORT_DEADLINES_OPEN = with_open_connections(
+    SHORT_DEADLINES,
+    Targets(queue=24, paces=(0.6, 1.0, 1.0, 0.7, 1.5), connections=120),
+    pay='DELETE',
+)
+
+LONGER_DEADLINES_OPEN = with_open_connections(
+    LONGER_DEADLINES,
+    Targets(
+        queue=36,
+        is_silent_when_full=True,
+        paces=(0.7, 1.0, 1.5, 0.8),
+        connections=130,
+    ),
+)
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,12 +33,15 @@
     ----------
     leave_share : float
         Share of the requests of ``callers`` that they give up early.
+    stay_share : float
+        Share of their requests that go on to nodes that stop.
     """
 
     series: tuple[Act, ...]
     habits: clients.Habits = clients.Habits()
     deployment: deployments.Deployment = deployments.TWO_SERVICES
     leave_share: float = 0.0
+    stay_share: float = 0.0
 
     @property
     def has_proxies(self) -> bool:
@@ -113,10 +116,30 @@
         leave_share=0.05,
     ),
 }
+OPEN_SERIES = (
+    *(acts.stop, acts.stop, acts.stop, acts.stop_early),
+    *(acts.hup, acts.hup_stopping, acts.configure, acts.limit),
+)
+"""Up to four stops at a time."""
+
+STAY_SHARE = 0.7
+OPEN_MIXES = {
+    'open-short': Mix(
+        OPEN_SERIES,
+        deployment=deployments.SHORT_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+    ),
+    'open-longer': Mix(
+        OPEN_SERIES,
+        deployment=deployments.LONGER_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+    ),
+}
 MIXES = (
     SHORT_MIXES
     | SHORTAGE_MIXES
     | LONGER_MIXES
+    | OPEN_MIXES
     | {
         'stops': Mix((*STOPS, acts.hup, acts.configure)),
         'planned': Mix(
@@ -250,6 +273,7 @@
             random.Random(f'{seed}{name}{i}'),
             kept,
             mix.leave_share,
+            mix.stay_share,
             f'{name}-c',
         )
         for name, vm in world.vms.items()
--- a/soak/world.py
+++ b/soak/world.py
@@ -98,6 +98,13 @@
             self.vms[name].store_address = self.side_address
         super().start_node(name, **environment)
 
+    def start_target(self, name: str) -> None:
+        """Start the target of a VM as its deployment has it."""
+        number = list(self.vms).index(name)
+        options = self.deployment.targets.options(number)
+        self.vms[name].target_options = options
+        super().start_target(name)
+
     async def _put_proxy(self, name: str) -> None:
         """Start a node again, with a proxy before its ``inbound``."""
         vm = self.vms[name]
@@ -126,10 +133,14 @@
 
     def domain_of(self, name: str) -> list[str]:
         """Return the VMs of a failure domain that get new requests."""
-        names = [n for n, vm in self.vms.items() if vm.domain == name]
+        names = self.all_of(name)
         ready = [n for n in names if n not in self.out]
         return ready if 2 * len(ready) >= len(names) else names
 
+    def all_of(self, name: str) -> list[str]:
+        """Return the VMs of a failure domain."""
+        return [n for n, vm in self.vms.items() if vm.domain == name]
+
     def note(self, kind: str, vm: str, began: float, detail: str = '') -> None:
         """Record what was done from a moment until now."""
         self.events.append(Event(kind, vm, began, time.time(), detail))
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -148,6 +148,23 @@
     When a caller waits 0.3 s for an answer that does not come
     Then it has left within 0.2 s of its deadline
 
+  Scenario Outline: clients that stay with a node that stops
+    Given a caller of two VMs, of which one <state>, that stays at <share>
+    When it chooses 1000 times, with open connections to <open>
+    Then <low> to <high> choices are the one that <state>
+
+    Examples:
+      | state        | share | open | low | high |
+      | stops        | 0.7   | both | 800 | 900  |
+      | stops        | 0.7   | none | 400 | 600  |
+      | stops        | 0     | both | 400 | 600  |
+      | is not ready | 0.7   | both | 400 | 600  |
+      | is not ready | 0.7   | none | 0   | 0    |
+      | is not ready | 0     | both | 0   | 0    |
+
+  Scenario: clients of deployments with open connections
+    Then all requests of clients there keep their connections
+
   Scenario Outline: services of the VMs of a deployment
     Then <count> VMs with longer deadlines have <drawings>, <wages>, <pitches>, <trucks> of the four services
     And each service of <count> VMs has two domains at least
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -12,6 +12,7 @@
 
 import behave
 
+from soak import callers
 from soak import checks
 from soak import clients
 from soak import deployments
@@ -351,3 +352,46 @@
         ('target-vm', {'spans': {request.identity: [span]}})
     )
     context.findings = checks.judge(context.world, [request])
+
+
+@behave.given(
+    'a caller of two VMs, of which one {state}, that stays at {share:g}'
+)
+def given_caller(context: typing.Any, state: str, share: float) -> None:
+    context.world = _world()
+    context.world.vms = {
+        name: types.SimpleNamespace(domain='vik') for name in ('one', 'other')
+    }
+    is_stopping = state == 'stops'
+    names = context.world.stopping if is_stopping else context.world.out
+    names.add('one')
+    context.caller = callers.Caller(
+        context.world, 'vik', 0, random.Random(1), {}, stay_share=share
+    )
+
+
+@behave.when('it chooses {count:d} times, with open connections to {which:w}')
+def when_chooses(context: typing.Any, count: int, which: str) -> None:
+    caller = context.caller
+    if which == 'both':
+        reader = types.SimpleNamespace(at_eof=lambda: False)
+        connection = callers.Connection(reader, None)
+        caller.kept.update({name: [connection] for name in context.world.vms})
+    context.chosen = [caller.choose() for _ in range(count)]
+
+
+@behave.then('{low:d} to {high:d} choices are the one that {state}')
+def then_chosen(context: typing.Any, low: int, high: int, state: str) -> None:
+    count = context.chosen.count('one')
+    assert low <= count <= high, count
+
+
+@behave.then('all requests of clients there keep their connections')
+def then_all_kept(context: typing.Any) -> None:
+    for deployment in (
+        deployments.SHORT_DEADLINES_OPEN,
+        deployments.LONGER_DEADLINES_OPEN,
+    ):
+        kinds = [kind for kind in deployment.kinds if kind.share]
+        assert all(kind.is_kept for kind in kinds), kinds
+        assert 'DELETE' in [kind.method for kind in kinds], kinds
