Soak: mixes stray-short and stray-longer, whose clients connect to nodes that start

As the open mixes, and 15 of 100 requests go to any node of the domain, ready or not, so that new connections meet nodes that start.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -59,6 +59,9 @@
     stay_share : float
         Share of the requests that go to nodes that stop, on connections that
         are open; with it nodes that are not ready are not left.
+    stray_share : float
+        Share of the requests that go to any node, whether it is ready or
+        not, on new connections too.
     prefix : str
         Beginning of its attempt ids.
     """
@@ -70,6 +73,7 @@
     kept: dict[str, list[Connection]]
     leave_share: float = 0.0
     stay_share: float = 0.0
+    stray_share: float = 0.0
     prefix: str = ''
     requests: list[clients.Request] = attrs.field(factory=list)
 
@@ -84,8 +88,10 @@
 
     def choose(self) -> str:
         """Return the VM to whose node a request goes."""
+        names = self.world.all_of(self.domain)
+        if self.stray_share and self.rng.random() < self.stray_share:
+            return self.rng.choice(names)
         if self.stay_share:
-            names = self.world.all_of(self.domain)
             stopping = [name for name in names if name in self.world.stopping]
             if stopping and self.rng.random() < self.stay_share:
                 names = stopping
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,6 +35,8 @@
         Share of the requests of ``callers`` that they give up early.
     stay_share : float
         Share of their requests that go on to nodes that stop.
+    stray_share : float
+        Share of their requests that go to nodes that may not be ready.
     """
 
     series: tuple[Act, ...]
@@ -42,6 +44,7 @@
     deployment: deployments.Deployment = deployments.TWO_SERVICES
     leave_share: float = 0.0
     stay_share: float = 0.0
+    stray_share: float = 0.0
 
     @property
     def has_proxies(self) -> bool:
@@ -123,6 +126,7 @@
 """Up to four stops at a time."""
 
 STAY_SHARE = 0.7
+STRAY_SHARE = 0.15
 OPEN_MIXES = {
     'open-short': Mix(
         OPEN_SERIES,
@@ -134,6 +138,18 @@
         deployment=deployments.LONGER_DEADLINES_OPEN,
         stay_share=STAY_SHARE,
     ),
+    'stray-short': Mix(
+        OPEN_SERIES,
+        deployment=deployments.SHORT_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+        stray_share=STRAY_SHARE,
+    ),
+    'stray-longer': Mix(
+        OPEN_SERIES,
+        deployment=deployments.LONGER_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+        stray_share=STRAY_SHARE,
+    ),
 }
 MIXES = (
     SHORT_MIXES
@@ -274,6 +290,7 @@
             kept,
             mix.leave_share,
             mix.stay_share,
+            mix.stray_share,
             f'{name}-c',
         )
         for name, vm in world.vms.items()
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -162,6 +162,11 @@
       | is not ready | 0.7   | none | 0   | 0    |
       | is not ready | 0     | both | 0   | 0    |
 
+  Scenario: clients that go to nodes that are not ready
+    Given a caller of two VMs, of which one is not ready, that strays at 0.2
+    When it chooses 1000 times, with open connections to none
+    Then 60 to 140 choices are the one that is not ready
+
   Scenario: clients of deployments with open connections
     Then all requests of clients there keep their connections
 
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -355,9 +355,11 @@
 
 
 @behave.given(
-    'a caller of two VMs, of which one {state}, that stays at {share:g}'
+    'a caller of two VMs, of which one {state}, that {verb:w} at {share:g}'
 )
-def given_caller(context: typing.Any, state: str, share: float) -> None:
+def given_caller(
+    context: typing.Any, state: str, verb: str, share: float
+) -> None:
     context.world = _world()
     context.world.vms = {
         name: types.SimpleNamespace(domain='vik') for name in ('one', 'other')
@@ -366,8 +368,12 @@
     names = context.world.stopping if is_stopping else context.world.out
     names.add('one')
     context.caller = callers.Caller(
-        context.world, 'vik', 0, random.Random(1), {}, stay_share=share
+        context.world, 'vik', 0, random.Random(1), {}
     )
+    if verb == 'stays':
+        context.caller.stay_share = share
+    else:
+        context.caller.stray_share = share
 
 
 @behave.when('it chooses {count:d} times, with open connections to {which:w}')
