--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -111,11 +111,15 @@
     paces: tuple[float, ...] = (1.0,)
     connections: int = 10_000
 
+    def pace(self, number: int) -> float:
+        """Return the factor of processing times of the VM of a number."""
+        return self.paces[number % len(self.paces)]
+
     def options(self, number: int) -> tuple[str, ...]:
         """Return the arguments of the target of the VM of a number."""
         return (
             *('--queue', str(self.queue)),
-            *('--pace', str(self.paces[number % len(self.paces)])),
+            *('--pace', str(self.pace(number))),
             *('--connections', str(self.connections)),
             *(['--silent-when-full'] if self.is_silent_when_full else []),
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -138,6 +138,16 @@
         deployment=deployments.LONGER_DEADLINES_OPEN,
         stay_share=STAY_SHARE,
     ),
+    'slow-short': Mix(
+        (*OPEN_SERIES, troubles.slow, troubles.slow),
+        deployment=deployments.SHORT_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+    ),
+    'slow-longer': Mix(
+        (*OPEN_SERIES, troubles.slow, troubles.slow),
+        deployment=deployments.LONGER_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+    ),
     'stray-short': Mix(
         OPEN_SERIES,
         deployment=deployments.SHORT_DEADLINES_OPEN,
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -17,6 +17,10 @@
 CROWD = 150
 CROWD_S = 0.6
 REUSE_S = 2.0
+SLOWER = (4.0, 12.0)
+SLOW_S = (2.0, 5.0)
+"""Factor of the processing times of a target that is slow, and how long."""
+
 ODD = ('lost', 'cut', 'bytes', 'extra', 'silent')
 
 
@@ -52,6 +56,22 @@
     world.replaced.discard(name)
 
 
+async def slow(world: worlds.World) -> None:
+    """Let a target take several times as long, which excuses no node."""
+    await world.sleep(0.2, 1.5)
+    name = _pick_target(world)
+    if not name:
+        return
+    began, address = time.time(), world.vms[name].addresses['app']
+    pace = world.deployment.targets.pace(list(world.vms).index(name))
+    factor = world.random.uniform(*SLOWER)
+    await world.post_control(address, 'change', pace=pace * factor)
+    await world.sleep(*SLOW_S)
+    await world.post_control(address, 'change', pace=pace)
+    world.note('slow', name, began, f'factor {factor:.1f}')
+    world.replaced.discard(name)
+
+
 async def vex_store(world: worlds.World) -> None:
     """Let the store be slow, silent, away, forgetful, or refuse some."""
     await world.sleep(0.5, 3.0)
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -28,6 +28,7 @@
       | term          | caller-vm | 1        |
       | store         | *         | 1        |
       | crash         | target-vm | 1        |
+      | slow          | target-vm | 1        |
       | pause         | target-vm | 1        |
       | short-of-time | target-vm | 1        |
       | pause         | caller-vm | 0        |
