Soak: each close without an answer is told, whatever excuses it

With how long after the request it came, when the whole request was sent, and by how much the soak itself was late.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -143,6 +143,20 @@
     return sorted(left_s for left_s in times if left_s < ALLOWANCE_S)
 
 
+def closes(
+    requests: typing.Iterable[clients.Request],
+) -> list[clients.Request]:
+    """Return the requests whose connection ended without an answer."""
+    return [
+        request
+        for request in requests
+        if not request.status
+        and not request.has_left
+        and request.error not in ('no answer', clients.UNREAD)
+        and not request.error.startswith('not connected')
+    ]
+
+
 def collect_runs(reports: list[tuple[str, dict]]) -> dict[str, list[Run]]:
     """Return the runs of each request by its attempt id."""
     found: dict[str, list[Run]] = collections.defaultdict(list)
--- a/soak/report.py
+++ b/soak/report.py
@@ -41,6 +41,7 @@
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
         *(f'{count:5d} strictly: {key}' for key, count in strict),
         _reply_times(requests),
+        *_closes(world, requests),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
     shown: collections.Counter = collections.Counter()
@@ -63,6 +64,24 @@
     )
 
 
+def _closes(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield a line on each close: nothing is excused or taken off in it."""
+    for request in checks.closes(requests):
+        sent_at, ended_at = request.sent_at, request.ended_at
+        whole_s = request.last_byte_at and request.last_byte_at - sent_at
+        done = checks.kinds(world, request, {request.vm})
+        yield (
+            f'closed: {request.identity} {request.method} at {request.vm}, '
+            f'{request.error or "no status"} after {ended_at - sent_at:.3f} s,'
+            f' whole after {whole_s:.3f} s, place {request.place}, idle '
+            f'{request.idle_s:.2f} s, soak late by '
+            f'{world.lag_s(sent_at - request.idle_s, ended_at):.2f} s, own: '
+            f'{" ".join(done)}'
+        )
+
+
 def _describe(world: worlds.World, item: checks.Finding) -> list[str]:
     request, base = item.request, item.request.sent_at
     vms = {request.vm, *(run.vm for run in item.runs)}
--- a/soak/run.py
+++ b/soak/run.py
@@ -244,7 +244,7 @@
         )
         unusual = {item.label for item in findings} - checks.USUAL
         (processes.folder / 'report.txt').write_text(text)
-        if problems or unusual:
+        if problems or unusual or checks.strict(world, requests):
             _keep(processes, keep, title)
         return Result(requests, findings, problems, text)
 
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -67,6 +67,16 @@
     Given a soak that was held up for 0.4 s
     Then the soak counts a close after 0.5 s strictly as late
 
+  Scenario Outline: closes are told whatever excuses them
+    When requests end with <ends>
+    Then <count> closes are told
+
+    Examples:
+      | ends                                 | count |
+      | IncompleteReadError, BrokenPipeError | 2     |
+      | no answer, not read in time          | 0     |
+      | not connected: TimeoutError          | 0     |
+
   Scenario Outline: the time that replies of nodes leave
     When a node replies <status> with <left> s left
     Then <count> replies at a deadline are counted
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -221,6 +221,21 @@
     assert key.startswith(checks.CLOSED_LATE), key
 
 
+@behave.when('requests end with {ends}')
+def when_ended(context: typing.Any, ends: str) -> None:
+    context.requests = []
+    for number, error in enumerate(ends.split(', ')):
+        request = _request(number)
+        request.error = error
+        context.requests.append(request)
+
+
+@behave.then('{count:d} closes are told')
+def then_told(context: typing.Any, count: int) -> None:
+    found = checks.closes(context.requests)
+    assert len(found) == count, found
+
+
 @behave.when('a node replies {status:d} with {left_s:g} s left')
 def when_replied(context: typing.Any, status: int, left_s: float) -> None:
     request = _request()
