--- a/soak/checks.py
+++ b/soak/checks.py
@@ -127,20 +127,24 @@
     return found
 
 
-def reply_times_left(
+def left_s(request: clients.Request) -> float:
+    """Return how long before its deadline a request ended, in s."""
+    return request.sent_at + request.deadline_s - request.ended_at
+
+
+def replies_at_deadline(
     requests: typing.Iterable[clients.Request],
-) -> list[float]:
-    """Return how long before their deadlines replies of nodes came, in s.
+) -> list[clients.Request]:
+    """Return requests that got 504 soon before their callers left.
 
-    They are replies 504 of nodes themselves to callers that would have left
-    soon, in order.
+    The one that had the least time left comes first.
     """
-    times = (
-        request.sent_at + request.deadline_s - request.ended_at
+    found = [
+        request
         for request in requests
-        if request.status == 504 and not request.is_signed
-    )
-    return sorted(left_s for left_s in times if left_s < ALLOWANCE_S)
+        if request.status == 504 and left_s(request) < ALLOWANCE_S
+    ]
+    return sorted(found, key=left_s)
 
 
 def closes(
--- a/soak/report.py
+++ b/soak/report.py
@@ -15,6 +15,9 @@
 
 SHOWN = 4
 NEAR_S = 1.2
+LATE_REPLY_S = 0.015
+"""Time left to a caller below which a reply is told, half of what is kept."""
+
 WORDS = ('peers:', 'held up', 'http: conn', 'node: st', 'call failed')
 
 
@@ -40,7 +43,7 @@
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
         *(f'{count:5d} strictly: {key}' for key, count in strict),
-        _reply_times(requests),
+        *_reply_times(world, requests),
         *_closes(world, requests),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
@@ -52,16 +55,28 @@
     return '\n'.join(lines)
 
 
-def _reply_times(requests: list[clients.Request]) -> str:
-    """Return a line on replies that nodes sent before a deadline."""
-    times = [s * 1000 for s in checks.reply_times_left(requests)]
-    if not times:
-        return 'no replies of nodes at a deadline'
-    middle = times[len(times) // 2]
-    return (
-        f'{len(times)} replies of nodes at a deadline, with {times[0]:.0f} ms '
-        f'left at least, {middle:.0f} ms in the middle'
-    )
+def _reply_times(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield a line on replies 504 at a deadline, and one on each late one."""
+    replies = checks.replies_at_deadline(requests)
+    for is_signed, name in ((False, 'nodes'), (True, 'targets')):
+        times = [
+            round(checks.left_s(request) * 1000)
+            for request in replies
+            if request.is_signed == is_signed
+        ]
+        yield f'{len(times)} replies of {name} at a deadline, ms left: {times}'
+    for request in replies:
+        ended_at = request.ended_at
+        if checks.left_s(request) < LATE_REPLY_S:
+            yield (
+                f'late reply: {request.identity} {request.method} at '
+                f'{request.vm}, {checks.left_s(request):.3f} s left of '
+                f'{request.deadline_s:.2f} s, soak late by '
+                f'{world.lag_s(ended_at - checks.NEAR_S, ended_at):.3f} s, '
+                f'own: {" ".join(checks.kinds(world, request, {request.vm}))}'
+            )
 
 
 def _closes(
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -86,6 +86,7 @@
       | 504    | 0.03 | 1     |
       | 504    | 0.3  | 0     |
       | 503    | 0.03 | 0     |
+      | 504    | -0.1 | 1     |
 
   Scenario Outline: a close that comes late without a run
     Given a soak in which <trouble> was done to <vm> beside requests
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -241,12 +241,12 @@
     request = _request()
     request.status = status
     request.ended_at = request.sent_at + request.deadline_s - left_s
-    context.times = checks.reply_times_left([request])
+    context.replies = checks.replies_at_deadline([request])
 
 
 @behave.then('{count:d} replies at a deadline are counted')
 def then_times(context: typing.Any, count: int) -> None:
-    assert len(context.times) == count, context.times
+    assert len(context.replies) == count, context.replies
 
 
 @behave.when('the node of caller-vm closes a connection late, without a run')
