--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -323,7 +323,26 @@
         )
         for kind in deployment.kinds
     )
-    return attrs.evolve(deployment, kinds=tuple(kinds), targets=targets)
+    return attrs.evolve(
+        deployment,
+        kinds=tuple(kinds),
+        targets=targets,
+        layout=deployment.layout or _spread(deployment.services),
+    )
+
+
+def _spread(services: tuple[str, ...]) -> tuple[str, ...]:
+    """Return a layout in which the next VMs of a service are elsewhere.
+
+    With as many domains as services, twice as many VMs give each service two
+    domains.
+    """
+    count = len(services)
+    return tuple(
+        services[(row + column) % count]
+        for row in range(count)
+        for column in range(count)
+    )
 
 
 SHORT_DEADLINES_OPEN = with_open_connections(
--- a/tests/mesh/test_mesh_soak.feature
+++ b/tests/mesh/test_mesh_soak.feature
@@ -5,3 +5,8 @@
     When a mesh of 6 nodes is soaked with the mix planned for 25 s, seed 37
     Then the soak has found no problem
     And targets have answered at least nine tenths of its requests
+
+  Scenario: clients that stay with stopping nodes get answers by their deadlines
+    When a mesh of 8 nodes is soaked with the mix slow-short for 20 s, seed 47
+    Then the soak has found no problem
+    And targets have answered at least nine tenths of its requests
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -191,6 +191,14 @@
       | 15    | 5        | 3     | 4       | 3      |
       | 12    | 4        | 3     | 3       | 2      |
 
+  Scenario Outline: services of VMs with short deadlines and open connections
+    Then each service of <count> VMs with short deadlines has <domains> domains
+
+    Examples:
+      | count | domains |
+      | 8     | 2       |
+      | 16    | 4       |
+
   Scenario Outline: a target is at work in the last sixth of a stop, or not
     Given a soak in which a node took 6 s after SIGTERM
     When a request of 1 s after it ends <how> after 5.6 s, its run after <run> s
--- a/tests/steps/test_mesh_soak.py
+++ b/tests/steps/test_mesh_soak.py
@@ -10,7 +10,7 @@
 
 
 @behave.when(
-    'a mesh of {count:d} nodes is soaked with the mix {mix:w} for '
+    'a mesh of {count:d} nodes is soaked with the mix {mix} for '
     '{seconds:d} s, seed {seed:d}'
 )
 def when_soaked(
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -344,6 +344,18 @@
     assert min(found.values()) >= 2, placed
 
 
+@behave.then(
+    'each service of {count:d} VMs with short deadlines has {domains:d} '
+    'domains'
+)
+def then_spread(context: typing.Any, count: int, domains: int) -> None:
+    place = deployments.SHORT_DEADLINES_OPEN.place
+    placed = {place(number) for number in range(count)}
+    found = collections.Counter(service for _, service in placed)
+    services = deployments.SHORT_DEADLINES_OPEN.services
+    assert found == dict.fromkeys(services, domains), found
+
+
 @behave.given('a soak in which a node took {seconds:g} s after SIGTERM')
 def given_stop(context: typing.Any, seconds: float) -> None:
     context.world = _world(
