--- a/soak/checks.py
+++ b/soak/checks.py
@@ -127,6 +127,21 @@
     return found
 
 
+def sent_during(
+    world: worlds.World, requests: typing.Iterable[clients.Request], kind: str
+) -> list[clients.Request]:
+    """Return the requests sent to a node while something was done to it."""
+    spans = collections.defaultdict(list)
+    for event in world.events:
+        if event.kind == kind:
+            spans[event.vm].append((event.began, event.ended))
+    return [
+        request
+        for request in requests
+        if any(a <= request.sent_at < b for a, b in spans[request.vm])
+    ]
+
+
 def left_s(request: clients.Request) -> float:
     """Return how long before its deadline a request ended, in s."""
     return request.sent_at + request.deadline_s - request.ended_at
--- a/soak/report.py
+++ b/soak/report.py
@@ -43,6 +43,10 @@
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
         *(f'{count:5d} strictly: {key}' for key, count in strict),
+        *(
+            f'sent during {kind}: {_summary(world, requests, kind)}'
+            for kind in ('term', 'start')
+        ),
         *_reply_times(world, requests),
         *_closes(world, requests),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
@@ -55,6 +59,18 @@
     return '\n'.join(lines)
 
 
+def _summary(
+    world: worlds.World, requests: list[clients.Request], kind: str
+) -> str:
+    """Return how requests ended that were sent while a node was disturbed."""
+    found = checks.sent_during(world, requests, kind)
+    ends = collections.Counter(item.status or item.error for item in found)
+    longest_s = max(
+        (item.ended_at - item.sent_at for item in found), default=0
+    )
+    return f'{len(found)}, {dict(ends)}, longest {longest_s:.2f} s'
+
+
 def _reply_times(
     world: worlds.World, requests: list[clients.Request]
 ) -> typing.Iterator[str]:
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -77,6 +77,16 @@
       | no answer, not read in time          | 0     |
       | not connected: TimeoutError          | 0     |
 
+  Scenario Outline: requests that are sent while a node is disturbed
+    Given a soak in which <done> was done to <vm> beside requests
+    Then <count> of the requests after 1 and 2 s are sent during start
+
+    Examples:
+      | done  | vm        | count |
+      | start | caller-vm | 1     |
+      | start | other-vm  | 0     |
+      | term  | caller-vm | 0     |
+
   Scenario Outline: the time that replies of nodes leave
     When a node replies <status> with <left> s left
     Then <count> replies at a deadline are counted
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -236,6 +236,14 @@
     assert len(found) == count, found
 
 
+@behave.then('{count:d} of the requests after 1 and 2 s are sent during start')
+def then_sent_during(context: typing.Any, count: int) -> None:
+    requests = [_request(0), _request(1)]
+    requests[1].sent_at += 1
+    found = checks.sent_during(context.world, requests, 'start')
+    assert found == requests[:count], found
+
+
 @behave.when('a node replies {status:d} with {left_s:g} s left')
 def when_replied(context: typing.Any, status: int, left_s: float) -> None:
     request = _request()
