--- a/soak/callers.py
+++ b/soak/callers.py
@@ -60,8 +60,8 @@
         Share of the requests that go to nodes that stop, on connections that
         are open; with it nodes that are not ready are not left.
     stray_share : float
-        Share of the requests that go to any node, whether it is ready or
-        not, on new connections too.
+        Share of the requests that go to nodes that start, or to any node if
+        none does, on new connections too.
     prefix : str
         Beginning of its attempt ids.
     """
@@ -90,7 +90,8 @@
         """Return the VM to whose node a request goes."""
         names = self.world.all_of(self.domain)
         if self.stray_share and self.rng.random() < self.stray_share:
-            return self.rng.choice(names)
+            starting = [name for name in names if name in self.world.starting]
+            return self.rng.choice(starting or names)
         if self.stay_share:
             stopping = [name for name in names if name in self.world.stopping]
             if stopping and self.rng.random() < self.stay_share:
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -44,6 +44,7 @@
     """Stop a node as the platform does, and start it again."""
     began, node = time.time(), world.vms[name].node
     node.signal(signal.SIGTERM)
+    world.starting.discard(name)
     world.stopping.add(name)
     try:
         code = await node.wait(GRACE_S)
@@ -73,6 +74,7 @@
     """Wait until a node is ready, and a second more."""
     began = time.time()
     await world.processes.wait_until(lambda: world.is_ready(name), START_S)
+    world.starting.discard(name)
     world.note('start', name, began)
     await asyncio.sleep(1.0)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,7 +36,7 @@
     stay_share : float
         Share of their requests that go on to nodes that stop.
     stray_share : float
-        Share of their requests that go to nodes that may not be ready.
+        Share of their requests that go to nodes that start.
     """
 
     series: tuple[Act, ...]
--- a/soak/world.py
+++ b/soak/world.py
@@ -38,9 +38,10 @@
 
     Parameters
     ----------
-    held, replaced, stopping : set of str
+    held, replaced, stopping, starting : set of str
         VMs whose node, or whose target, is being disturbed, and those whose
-        node has got SIGTERM and not ended.
+        node has got SIGTERM and not ended, or was started and is not known
+        to be ready.
     out : set of str
         VMs that get no new requests, since their nodes are not ready.
     lags : list of tuple
@@ -62,6 +63,7 @@
     lags: list[tuple[float, float]] = attrs.field(factory=list)
     crowds: list[clients.Request] = attrs.field(factory=list)
     stopping: set[str] = attrs.field(factory=set)
+    starting: set[str] = attrs.field(factory=set)
     events: list[Event] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     reports: list[tuple[str, dict]] = attrs.field(factory=list)
@@ -83,6 +85,7 @@
                 await self._put_proxy(name)
         for path in self.deployment.paths:
             await self.wait_until_serving(self.vms, path, START_S)
+        self.starting.clear()
 
     async def _put_store_proxy(self) -> None:
         """Let some nodes reach the store through a proxy."""
@@ -96,6 +99,7 @@
         number = list(self.vms).index(name)
         if number % 3 == 0:
             self.vms[name].store_address = self.side_address
+        self.starting.add(name)
         super().start_node(name, **environment)
 
     def start_target(self, name: str) -> None:
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -184,10 +184,15 @@
       | is not ready | 0.7   | none | 0   | 0    |
       | is not ready | 0     | both | 0   | 0    |
 
-  Scenario: clients that go to nodes that are not ready
-    Given a caller of two VMs, of which one is not ready, that strays at 0.2
+  Scenario Outline: clients that go to nodes that start
+    Given a caller of two VMs, of which one <state>, that strays at 0.2
     When it chooses 1000 times, with open connections to none
-    Then 60 to 140 choices are the one that is not ready
+    Then <low> to <high> choices are the one that <state>
+
+    Examples:
+      | state        | low | high |
+      | is not ready | 60  | 140  |
+      | starts       | 550 | 650  |
 
   Scenario: clients of deployments with open connections
     Then all requests of clients there keep their connections
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -399,9 +399,9 @@
     context.world.vms = {
         name: types.SimpleNamespace(domain='vik') for name in ('one', 'other')
     }
-    is_stopping = state == 'stops'
-    names = context.world.stopping if is_stopping else context.world.out
-    names.add('one')
+    world = context.world
+    states = {'stops': world.stopping, 'starts': world.starting}
+    states.get(state, world.out).add('one')
     context.caller = callers.Caller(
         context.world, 'vik', 0, random.Random(1), {}
     )
