--- a/soak/checks.py
+++ b/soak/checks.py
@@ -107,6 +107,75 @@
         return self.label in GRAVE and is_calm and is_counted
 
 
+def strict(
+    world: worlds.World, requests: typing.Iterable[clients.Request]
+) -> collections.Counter[str]:
+    """Count what callers have seen if the soak is never held up.
+
+    No lateness of the soak and no disturbance is taken off: each request
+    that ended at its deadline without a byte of an answer, and each close
+    that came late without a run.
+    """
+    plain = attrs.evolve(world, lags=[])
+    found: collections.Counter[str] = collections.Counter()
+    for item in judge(plain, requests):
+        request = item.request
+        is_silent = request.error == 'no answer' and not request.received
+        if is_silent or item.label == CLOSED_LATE:
+            label = NO_ANSWER if is_silent else CLOSED_LATE
+            found[f'{label} | own: {" ".join(item.own)}'] += 1
+    return found
+
+
+def sent_during(
+    world: worlds.World, requests: typing.Iterable[clients.Request], kind: str
+) -> list[clients.Request]:
+    """Return the requests sent to a node while something was done to it."""
+    spans = collections.defaultdict(list)
+    for event in world.events:
+        if event.kind == kind:
+            spans[event.vm].append((event.began, event.ended))
+    return [
+        request
+        for request in requests
+        if any(a <= request.sent_at < b for a, b in spans[request.vm])
+    ]
+
+
+def left_s(request: clients.Request) -> float:
+    """Return how long before its deadline a request ended, in s."""
+    return request.sent_at + request.deadline_s - request.ended_at
+
+
+def replies_at_deadline(
+    requests: typing.Iterable[clients.Request],
+) -> list[clients.Request]:
+    """Return requests that got 504 soon before their callers left.
+
+    The one that had the least time left comes first.
+    """
+    found = [
+        request
+        for request in requests
+        if request.status == 504 and left_s(request) < ALLOWANCE_S
+    ]
+    return sorted(found, key=left_s)
+
+
+def closes(
+    requests: typing.Iterable[clients.Request],
+) -> list[clients.Request]:
+    """Return the requests whose connection ended without an answer."""
+    return [
+        request
+        for request in requests
+        if not request.status
+        and not request.has_left
+        and request.error not in ('no answer', clients.UNREAD)
+        and not request.error.startswith('not connected')
+    ]
+
+
 def collect_runs(reports: list[tuple[str, dict]]) -> dict[str, list[Run]]:
     """Return the runs of each request by its attempt id."""
     found: dict[str, list[Run]] = collections.defaultdict(list)
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -96,6 +96,35 @@
         }
 
 
+@attrs.frozen
+class Targets:
+    """How the targets of a deployment treat load (``standins.backend``).
+
+    Parameters
+    ----------
+    paces : tuple of float
+        Factors of processing times, which the VMs have in turn.
+    """
+
+    queue: int = 0
+    is_silent_when_full: bool = False
+    paces: tuple[float, ...] = (1.0,)
+    connections: int = 10_000
+
+    def pace(self, number: int) -> float:
+        """Return the factor of processing times of the VM of a number."""
+        return self.paces[number % len(self.paces)]
+
+    def options(self, number: int) -> tuple[str, ...]:
+        """Return the arguments of the target of the VM of a number."""
+        return (
+            *('--queue', str(self.queue)),
+            *('--pace', str(self.pace(number))),
+            *('--connections', str(self.connections)),
+            *(['--silent-when-full'] if self.is_silent_when_full else []),
+        )
+
+
 @attrs.frozen
 class Deployment:
     """Failure domains, services and kinds of requests.
@@ -116,6 +145,7 @@
     paths: tuple[str, ...]
     kinds: tuple[Kind, ...] = ()
     layout: tuple[str, ...] = ()
+    targets: Targets = Targets()
 
     def place(self, number: int) -> tuple[str, str]:
         """Return failure domain and service of the VM of a number."""
@@ -273,3 +303,60 @@
         Kind('yard', 'trucks', 'GET', work_s=0.055, deadline_s=0.6),
     ),
 )
+
+
+def with_open_connections(
+    deployment: Deployment, targets: Targets, **methods: str
+) -> Deployment:
+    """Return a deployment whose clients keep connections for all kinds.
+
+    Parameters
+    ----------
+    methods : str
+        Methods of kinds by their routes, where they are others.
+    """
+    kinds = (
+        attrs.evolve(
+            kind,
+            is_kept=bool(kind.share),
+            method=methods.get(kind.route, kind.method),
+        )
+        for kind in deployment.kinds
+    )
+    return attrs.evolve(
+        deployment,
+        kinds=tuple(kinds),
+        targets=targets,
+        layout=deployment.layout or _spread(deployment.services),
+    )
+
+
+def _spread(services: tuple[str, ...]) -> tuple[str, ...]:
+    """Return a layout in which the next VMs of a service are elsewhere.
+
+    With as many domains as services, twice as many VMs give each service two
+    domains.
+    """
+    count = len(services)
+    return tuple(
+        services[(row + column) % count]
+        for row in range(count)
+        for column in range(count)
+    )
+
+
+SHORT_DEADLINES_OPEN = with_open_connections(
+    SHORT_DEADLINES,
+    Targets(queue=24, paces=(0.6, 1.0, 1.0, 0.7, 1.5), connections=120),
+    pay='DELETE',
+)
+
+LONGER_DEADLINES_OPEN = with_open_connections(
+    LONGER_DEADLINES,
+    Targets(
+        queue=36,
+        is_silent_when_full=True,
+        paces=(0.7, 1.0, 1.5, 0.8),
+        connections=130,
+    ),
+)
--- a/soak/report.py
+++ b/soak/report.py
@@ -15,6 +15,9 @@
 
 SHOWN = 4
 NEAR_S = 1.2
+LATE_REPLY_S = 0.015
+"""Time left to a caller below which a reply is told, half of what is kept."""
+
 WORDS = ('peers:', 'held up', 'http: conn', 'node: st', 'call failed')
 
 
@@ -33,11 +36,19 @@
     )
     done = collections.Counter(event.kind for event in world.events)
     keys = collections.Counter(item.key for item in findings)
+    strict = checks.strict(world, requests).most_common()
     lines = [
         f'{len(requests)} requests, {dict(statuses)}, {dict(done)}',
         f'without a status: {dict(unanswered)}',
         *(f'{count:5d} {key}' for key, count in keys.most_common()),
         f'{len(checks.in_touch(world, findings)):5d} {checks.IN_TOUCH}',
+        *(f'{count:5d} strictly: {key}' for key, count in strict),
+        *(
+            f'sent during {kind}: {_summary(world, requests, kind)}'
+            for kind in ('term', 'start')
+        ),
+        *_reply_times(world, requests),
+        *_closes(world, requests),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
     shown: collections.Counter = collections.Counter()
@@ -48,6 +59,60 @@
     return '\n'.join(lines)
 
 
+def _summary(
+    world: worlds.World, requests: list[clients.Request], kind: str
+) -> str:
+    """Return how requests ended that were sent while a node was disturbed."""
+    found = checks.sent_during(world, requests, kind)
+    ends = collections.Counter(item.status or item.error for item in found)
+    longest_s = max(
+        (item.ended_at - item.sent_at for item in found), default=0
+    )
+    return f'{len(found)}, {dict(ends)}, longest {longest_s:.2f} s'
+
+
+def _reply_times(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield a line on replies 504 at a deadline, and one on each late one."""
+    replies = checks.replies_at_deadline(requests)
+    for is_signed, name in ((False, 'nodes'), (True, 'targets')):
+        times = [
+            round(checks.left_s(request) * 1000)
+            for request in replies
+            if request.is_signed == is_signed
+        ]
+        yield f'{len(times)} replies of {name} at a deadline, ms left: {times}'
+    for request in replies:
+        ended_at = request.ended_at
+        if checks.left_s(request) < LATE_REPLY_S:
+            yield (
+                f'late reply: {request.identity} {request.method} at '
+                f'{request.vm}, {checks.left_s(request):.3f} s left of '
+                f'{request.deadline_s:.2f} s, soak late by '
+                f'{world.lag_s(ended_at - checks.NEAR_S, ended_at):.3f} s, '
+                f'own: {" ".join(checks.kinds(world, request, {request.vm}))}'
+            )
+
+
+def _closes(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield a line on each close: nothing is excused or taken off in it."""
+    for request in checks.closes(requests):
+        sent_at, ended_at = request.sent_at, request.ended_at
+        whole_s = request.last_byte_at and request.last_byte_at - sent_at
+        done = checks.kinds(world, request, {request.vm})
+        yield (
+            f'closed: {request.identity} {request.method} at {request.vm}, '
+            f'{request.error or "no status"} after {ended_at - sent_at:.3f} s,'
+            f' whole after {whole_s:.3f} s, place {request.place}, idle '
+            f'{request.idle_s:.2f} s, soak late by '
+            f'{world.lag_s(sent_at - request.idle_s, ended_at):.2f} s, own: '
+            f'{" ".join(done)}'
+        )
+
+
 def _describe(world: worlds.World, item: checks.Finding) -> list[str]:
     request, base = item.request, item.request.sent_at
     vms = {request.vm, *(run.vm for run in item.runs)}
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -28,6 +28,7 @@
       | term          | caller-vm | 1        |
       | store         | *         | 1        |
       | crash         | target-vm | 1        |
+      | slow          | target-vm | 1        |
       | pause         | target-vm | 1        |
       | short-of-time | target-vm | 1        |
       | pause         | caller-vm | 0        |
@@ -45,6 +46,58 @@
       | 2.96   | 0        |
       | 1.00   | 1        |
 
+  Scenario Outline: a strict count takes no lateness of the soak off
+    Given a soak that was held up for 0.05 s, <offset> s after the request
+    When a caller leaves the node of caller-vm with <received> bytes of an answer
+    Then the soak counts <count> requests without an answer strictly
+
+    Examples:
+      | offset | received | count |
+      | 0.02   | 0        | 1     |
+      | 2.96   | 0        | 1     |
+      | 1.00   | 0        | 1     |
+      | 1.00   | 90       | 0     |
+
+  Scenario: a strict count leaves out nothing that was done to a node
+    Given a soak in which pause was done to caller-vm beside requests
+    When a caller leaves the node of caller-vm with 0 bytes of an answer
+    Then the soak counts 1 requests without an answer strictly
+
+  Scenario: a strict count of late closes takes no lateness of the soak off
+    Given a soak that was held up for 0.4 s
+    Then the soak counts a close after 0.5 s strictly as late
+
+  Scenario Outline: closes are told whatever excuses them
+    When requests end with <ends>
+    Then <count> closes are told
+
+    Examples:
+      | ends                                 | count |
+      | IncompleteReadError, BrokenPipeError | 2     |
+      | no answer, not read in time          | 0     |
+      | not connected: TimeoutError          | 0     |
+
+  Scenario Outline: requests that are sent while a node is disturbed
+    Given a soak in which <done> was done to <vm> beside requests
+    Then <count> of the requests after 1 and 2 s are sent during start
+
+    Examples:
+      | done  | vm        | count |
+      | start | caller-vm | 1     |
+      | start | other-vm  | 0     |
+      | term  | caller-vm | 0     |
+
+  Scenario Outline: the time that replies of nodes leave
+    When a node replies <status> with <left> s left
+    Then <count> replies at a deadline are counted
+
+    Examples:
+      | status | left | count |
+      | 504    | 0.03 | 1     |
+      | 504    | 0.3  | 0     |
+      | 503    | 0.03 | 0     |
+      | 504    | -0.1 | 1     |
+
   Scenario Outline: a close that comes late without a run
     Given a soak in which <trouble> was done to <vm> beside requests
     When the node of caller-vm closes a connection late, without a run
@@ -94,6 +147,17 @@
     Then requests that ended after 0.5 s without an answer are not late
     And requests that ended after 0.7 s without an answer are late
 
+  Scenario Outline: SIGHUP goes to a node that is left alone
+    Given a soak of two VMs of which <held> are held
+    When SIGHUP is sent to a node that is left alone
+    Then <count> nodes have got it
+
+    Examples:
+      | held | count |
+      | 0    | 1     |
+      | 1    | 1     |
+      | 2    | 0     |
+
   Scenario: a client learns whether a node has read its request
     When a client sends bytes that the other end does not read
     Then they are unread until it reads them
@@ -106,6 +170,33 @@
     When a caller waits 0.3 s for an answer that does not come
     Then it has left within 0.2 s of its deadline
 
+  Scenario Outline: clients that stay with a node that stops
+    Given a caller of two VMs, of which one <state>, that stays at <share>
+    When it chooses 1000 times, with open connections to <open>
+    Then <low> to <high> choices are the one that <state>
+
+    Examples:
+      | state        | share | open | low | high |
+      | stops        | 0.7   | both | 800 | 900  |
+      | stops        | 0.7   | none | 400 | 600  |
+      | stops        | 0     | both | 400 | 600  |
+      | is not ready | 0.7   | both | 400 | 600  |
+      | is not ready | 0.7   | none | 0   | 0    |
+      | is not ready | 0     | both | 0   | 0    |
+
+  Scenario Outline: clients that go to nodes that start
+    Given a caller of two VMs, of which one <state>, that strays at 0.2
+    When it chooses 1000 times, with open connections to none
+    Then <low> to <high> choices are the one that <state>
+
+    Examples:
+      | state        | low | high |
+      | is not ready | 60  | 140  |
+      | starts       | 550 | 650  |
+
+  Scenario: clients of deployments with open connections
+    Then all requests of clients there keep their connections
+
   Scenario Outline: services of the VMs of a deployment
     Then <count> VMs with longer deadlines have <drawings>, <wages>, <pitches>, <trucks> of the four services
     And each service of <count> VMs has two domains at least
@@ -115,6 +206,14 @@
       | 15    | 5        | 3     | 4       | 3      |
       | 12    | 4        | 3     | 3       | 2      |
 
+  Scenario Outline: services of VMs with short deadlines and open connections
+    Then each service of <count> VMs with short deadlines has <domains> domains
+
+    Examples:
+      | count | domains |
+      | 8     | 2       |
+      | 16    | 4       |
+
   Scenario Outline: a target is at work in the last sixth of a stop, or not
     Given a soak in which a node took 6 s after SIGTERM
     When a request of 1 s after it ends <how> after 5.6 s, its run after <run> s
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import collections
+import random
+import signal
 import time
 import types
 import typing
 
 import behave
 
+from soak import callers
 from soak import checks
 from soak import clients
 from soak import deployments
+from soak import disturbances
 from soak import unread
 from soak import world as worlds
 
@@ -111,6 +115,32 @@
     assert (label == checks.CLOSED_LATE) == (verb == 'are'), label
 
 
+@behave.given('a soak of two VMs of which {count:d} are held')
+def given_held(context: typing.Any, count: int) -> None:
+    context.signals = []
+    node = types.SimpleNamespace(signal=context.signals.append)
+    context.world = _world()
+    context.world.random = random.Random(1)
+    names = ('vm-1', 'vm-2')
+    context.world.vms = {
+        name: types.SimpleNamespace(node=node) for name in names
+    }
+    context.world.held = set(names[:count])
+
+
+@behave.when('SIGHUP is sent to a node that is left alone')
+def when_hup(context: typing.Any) -> None:
+    context.run(disturbances.hup(context.world))
+
+
+@behave.then('{count:d} nodes have got it')
+def then_got(context: typing.Any, count: int) -> None:
+    assert context.signals == [signal.SIGHUP] * count, context.signals
+    done = [(event.kind, event.vm) for event in context.world.events]
+    assert len(done) == count, done
+    assert all(vm not in context.world.held for _, vm in done), done
+
+
 @behave.when('a client sends bytes that the other end does not read')
 def when_unread(context: typing.Any) -> None:
     context.seen = context.run(_look_at_unread())
@@ -165,6 +195,68 @@
     context.world.lags.append((began, began + seconds))
 
 
+@behave.when(
+    'a caller leaves the node of caller-vm with {count:d} bytes of an answer'
+)
+def when_left_after(context: typing.Any, count: int) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + request.deadline_s
+    request.error, request.received = 'no answer', count
+    context.requests = [request]
+
+
+@behave.then('the soak counts {count:d} requests without an answer strictly')
+def then_strictly(context: typing.Any, count: int) -> None:
+    found = checks.strict(context.world, context.requests)
+    labels = [key.partition(' |')[0] for key in found.elements()]
+    assert labels == [checks.NO_ANSWER] * count, found
+
+
+@behave.then('the soak counts a close after {seconds:g} s strictly as late')
+def then_strictly_late(context: typing.Any, seconds: float) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + seconds
+    assert not checks.classify(context.world, request, [])
+    (key,) = checks.strict(context.world, [request])
+    assert key.startswith(checks.CLOSED_LATE), key
+
+
+@behave.when('requests end with {ends}')
+def when_ended(context: typing.Any, ends: str) -> None:
+    context.requests = []
+    for number, error in enumerate(ends.split(', ')):
+        request = _request(number)
+        request.error = error
+        context.requests.append(request)
+
+
+@behave.then('{count:d} closes are told')
+def then_told(context: typing.Any, count: int) -> None:
+    found = checks.closes(context.requests)
+    assert len(found) == count, found
+
+
+@behave.then('{count:d} of the requests after 1 and 2 s are sent during start')
+def then_sent_during(context: typing.Any, count: int) -> None:
+    requests = [_request(0), _request(1)]
+    requests[1].sent_at += 1
+    found = checks.sent_during(context.world, requests, 'start')
+    assert found == requests[:count], found
+
+
+@behave.when('a node replies {status:d} with {left_s:g} s left')
+def when_replied(context: typing.Any, status: int, left_s: float) -> None:
+    request = _request()
+    request.status = status
+    request.ended_at = request.sent_at + request.deadline_s - left_s
+    context.replies = checks.replies_at_deadline([request])
+
+
+@behave.then('{count:d} replies at a deadline are counted')
+def then_times(context: typing.Any, count: int) -> None:
+    assert len(context.replies) == count, context.replies
+
+
 @behave.when('the node of caller-vm closes a connection late, without a run')
 def when_closed_late(context: typing.Any) -> None:
     context.findings = checks.judge(context.world, [_request()])
@@ -260,6 +352,18 @@
     assert min(found.values()) >= 2, placed
 
 
+@behave.then(
+    'each service of {count:d} VMs with short deadlines has {domains:d} '
+    'domains'
+)
+def then_spread(context: typing.Any, count: int, domains: int) -> None:
+    place = deployments.SHORT_DEADLINES_OPEN.place
+    placed = {place(number) for number in range(count)}
+    found = collections.Counter(service for _, service in placed)
+    services = deployments.SHORT_DEADLINES_OPEN.services
+    assert found == dict.fromkeys(services, domains), found
+
+
 @behave.given('a soak in which a node took {seconds:g} s after SIGTERM')
 def given_stop(context: typing.Any, seconds: float) -> None:
     context.world = _world(
@@ -283,3 +387,52 @@
         ('target-vm', {'spans': {request.identity: [span]}})
     )
     context.findings = checks.judge(context.world, [request])
+
+
+@behave.given(
+    'a caller of two VMs, of which one {state}, that {verb:w} at {share:g}'
+)
+def given_caller(
+    context: typing.Any, state: str, verb: str, share: float
+) -> None:
+    context.world = _world()
+    context.world.vms = {
+        name: types.SimpleNamespace(domain='vik') for name in ('one', 'other')
+    }
+    world = context.world
+    states = {'stops': world.stopping, 'starts': world.starting}
+    states.get(state, world.out).add('one')
+    context.caller = callers.Caller(
+        context.world, 'vik', 0, random.Random(1), {}
+    )
+    if verb == 'stays':
+        context.caller.stay_share = share
+    else:
+        context.caller.stray_share = share
+
+
+@behave.when('it chooses {count:d} times, with open connections to {which:w}')
+def when_chooses(context: typing.Any, count: int, which: str) -> None:
+    caller = context.caller
+    if which == 'both':
+        reader = types.SimpleNamespace(at_eof=lambda: False)
+        connection = callers.Connection(reader, None)
+        caller.kept.update({name: [connection] for name in context.world.vms})
+    context.chosen = [caller.choose() for _ in range(count)]
+
+
+@behave.then('{low:d} to {high:d} choices are the one that {state}')
+def then_chosen(context: typing.Any, low: int, high: int, state: str) -> None:
+    count = context.chosen.count('one')
+    assert low <= count <= high, count
+
+
+@behave.then('all requests of clients there keep their connections')
+def then_all_kept(context: typing.Any) -> None:
+    for deployment in (
+        deployments.SHORT_DEADLINES_OPEN,
+        deployments.LONGER_DEADLINES_OPEN,
+    ):
+        kinds = [kind for kind in deployment.kinds if kind.share]
+        assert all(kind.is_kept for kind in kinds), kinds
+        assert 'DELETE' in [kind.method for kind in kinds], kinds
