Requests count from when they came, not from when they are read

Cause: the time of a request began when the node read it. What had lain in its socket meanwhile was not taken off, so that the reply came after its caller had left. The sockets of a node listen before its modules are loaded, so this concerned every start.

Why it works: the kernel tells how long ago a connection received its last bytes (TCP_INFO, tcpi_last_data_recv), also for one that waited in a backlog.

--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     began_at, byte_at : float
-        When its first and its last bytes were received.
+        When its first bytes came, and when its last ones were read.
     unparsed_size : int
         Size of the parts that came before the end of its head.
     is_overdue : bool
--- a/pomelobend/sockets.py
+++ b/pomelobend/sockets.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import select
 import socket
+import sys
 import typing
 
 from pomelobend import addresses
 
+TCP_INFO_BYTES = 56
+"""Size of the part of ``struct tcp_info`` that is asked for."""
+
+LAST_INPUT_OFFSET = 52
+"""Offset of ``tcpi_last_data_recv`` in it, in ms; its first byte is the state
+of the connection, which is never 0."""
+
 
 def peek(transport: typing.Any) -> bytes | None:
     """Return the next byte that was received and not read by a transport.
@@ -48,6 +57,25 @@
         return None
 
 
+def since_input_s(transport: typing.Any) -> float:
+    """Return how long ago a connection received its last bytes in s.
+
+    The kernel notes that also for a connection that waits in a backlog.
+
+    Raises
+    ------
+    OSError
+        The system does not tell.
+    """
+    info = transport.get_extra_info('socket').getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+    )
+    if len(info) < TCP_INFO_BYTES or not info[0]:
+        raise OSError(errno.EOPNOTSUPP, 'no times in TCP_INFO')
+    since_ms = info[LAST_INPUT_OFFSET:TCP_INFO_BYTES]
+    return int.from_bytes(since_ms, sys.byteorder) / 1000
+
+
 def is_reset(transport: typing.Any) -> bool:
     """Return whether the other end has reset the connection."""
     poll = select.poll()
--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -37,6 +37,13 @@
     When a caller that leaves after 1000 ms sends a POST call of 5 s to a node that is held up for 0.4 s
     Then the caller has an answer of the target
 
+  # Guards against a time that counts from the end of the start of a node.
+  Scenario: calls that wait while their node starts are answered in time
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When callers that leave after 3000 ms send 20 POST calls of 5 s to a node whose start is held up for 0.3 s
+    Then each of these calls has an answer
+
   # Guards against a reply of the node itself while the target is at work.
   Scenario: a call that the node of its target reads late has the answer of its target
     Given a mesh with two targets of a service in each of two domains
--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -16,10 +16,13 @@
 WORK_S = 5.0
 PATHS = {'POST': '/booking/a', 'GET': '/archive/a'}
 GATEWAY_TIMEOUT = 504
+STOP_S = 10.0
+LISTEN_S = 5.0
+CALL_PAUSE_S = 0.01
 
 
 def start_call(
-    context: typing.Any, method: str, deadline_ms: int
+    context: typing.Any, method: str, deadline_ms: int, identity: str = CALL
 ) -> asyncio.Task:
     """Send a call whose caller leaves at its deadline."""
     headers = {'x-work-s': str(WORK_S), 'x-deadline-ms': str(deadline_ms)}
@@ -27,7 +30,7 @@
         context.mesh.call(
             held_up_steps.NODE,
             PATHS[method],
-            CALL,
+            identity,
             method,
             deadline_ms / 1000,
             **headers,
@@ -116,6 +119,56 @@
     context.run(act())
 
 
+async def restart(context: typing.Any) -> fleet.Process:
+    """Stop the callers' node; start it and wait until its socket listens."""
+    vm = context.mesh.vms[held_up_steps.NODE]
+    vm.node.signal(signal.SIGTERM)
+    await vm.node.wait(STOP_S)
+    context.mesh.start_node(vm.name)
+    host, _, port = vm.addresses['outbound'].rpartition(':')
+    async with asyncio.timeout(LISTEN_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except ConnectionError:
+                await asyncio.sleep(0.002)
+                continue
+            writer.close()
+            return vm.node
+
+
+@behave.when(
+    'callers that leave after {deadline_ms:d} ms send {count:d} {method:w} '
+    'calls of 5 s to a node whose start is held up for {held_s:f} s'
+)
+def when_starting(
+    context: typing.Any,
+    deadline_ms: int,
+    count: int,
+    method: str,
+    held_s: float,
+) -> None:
+    async def act() -> None:
+        node = await restart(context)
+        holding = asyncio.create_task(held_up_steps.hold_up([node], held_s))
+        started = []
+        for number in range(count):
+            started.append(
+                start_call(context, method, deadline_ms, f'start-{number}')
+            )
+            await asyncio.sleep(CALL_PAUSE_S)
+        await holding
+        context.answers = await asyncio.gather(*started)
+
+    context.run(act())
+
+
+@behave.then('each of these calls has an answer')
+def then_all_answered(context: typing.Any) -> None:
+    unanswered = [answer for answer in context.answers if not answer[0]]
+    assert not unanswered, (len(unanswered), unanswered[:3])
+
+
 async def _answer(
     context: typing.Any, method: str, deadline_ms: int
 ) -> tuple[int, dict[str, str], str]:
