--- a/tests/routing/test_routing_startup.feature
+++ b/tests/routing/test_routing_startup.feature
@@ -23,6 +23,31 @@
       | 0.3   | sent    | 0.2  |
       | 5.0   | refused | 0.3  |
 
+  # Guards against a wait of a starting node past the deadline of a caller.
+  Scenario Outline: a call that waited <waited> s of its 1.0 s for the start is refused before its caller leaves, without a <what>
+    Given a node that starts and learns of a <what> after 5.0 s
+    When a call with a deadline of 1.0 s is read <waited> s after it came
+    Then it is refused before its caller leaves
+
+    Examples:
+      | waited | what          |
+      | 0.5    | configuration |
+      | 0.8    | configuration |
+      | 0.9    | configuration |
+      | 0.5    | target        |
+      | 0.9    | target        |
+
+  # Guards against work for callers that have left during the start.
+  Scenario Outline: a call whose caller left during the start is refused at once, with a known <what>
+    Given a node that starts and learns of a <what> after 0.0 s
+    When a call with a deadline of 1.0 s is read 1.1 s after it came
+    Then it is refused after 0.0 s
+
+    Examples:
+      | what          |
+      | configuration |
+      | target        |
+
   Scenario: a call that the only known target refuses waits for the next one
     Given a node that starts and learns of a target after 0.2 s
     And it knows an overloaded target from the start
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -162,9 +162,15 @@
 
 
 async def call(
-    context: typing.Any, at_s: float, deadline_s: float
+    context: typing.Any,
+    at_s: float,
+    deadline_s: float,
+    waited_s: float = 0.0,
 ) -> tuple[int, float]:
-    """Send a call some time after the start; return status and duration."""
+    """Send a call some time after the start; return status and duration.
+
+    It may have waited before it is read.
+    """
     await asyncio.sleep(at_s)
     request = message.Request(
         'GET',
@@ -176,6 +182,7 @@
         ],
         b'',
         True,
+        context.clock.monotonic() - waited_s,
     )
     sent_at = context.clock.monotonic()
     reply = await context.front.answer(request)
@@ -197,6 +204,22 @@
     context.found = context.run(call(context, at_s, deadline_s))
 
 
+@behave.when(
+    'a call with a deadline of {deadline_s:f} s is read {waited_s:f} s after '
+    'it came'
+)
+def when_read(context: typing.Any, deadline_s: float, waited_s: float) -> None:
+    context.left_s = deadline_s - waited_s
+    context.found = context.run(call(context, 0.01, deadline_s, waited_s))
+
+
+@behave.then('it is refused before its caller leaves')
+def then_before(context: typing.Any) -> None:
+    status, took_s = context.found
+    assert status == 503, context.found
+    assert took_s < context.left_s, (context.found, context.left_s)
+
+
 @behave.then('it is {outcome} after {held_s:f} s')
 def then_outcome(context: typing.Any, outcome: str, held_s: float) -> None:
     status, took_s = context.found
