--- a/tests/http/test_http_arrivals.feature
+++ b/tests/http/test_http_arrivals.feature
@@ -5,21 +5,22 @@
     Given an HTTP server whose connections may be idle for 30.0 s
     When a request waits <what> for 0.3 s
     Then its time counts from when it came
+    And <late> requests count as read late
 
     Examples: of asyncio
-      | what                          | loop    |
-      | on a new connection           | asyncio |
-      | on a connection that was used | asyncio |
-      | behind another one            | asyncio |
-      | for the rest of its body      | asyncio |
+      | what                          | loop    | late |
+      | on a new connection           | asyncio | 1    |
+      | on a connection that was used | asyncio | 1    |
+      | behind another one            | asyncio | 2    |
+      | for the rest of its body      | asyncio | 0    |
 
     @uvloop
     Examples: of uvloop
-      | what                          | loop   |
-      | on a new connection           | uvloop |
-      | on a connection that was used | uvloop |
-      | behind another one            | uvloop |
-      | for the rest of its body      | uvloop |
+      | what                          | loop   | late |
+      | on a new connection           | uvloop | 1    |
+      | on a connection that was used | uvloop | 1    |
+      | behind another one            | uvloop | 2    |
+      | for the rest of its body      | uvloop | 0    |
 
   # Guards against a caller that leaves while its request waits for a start.
   Scenario: the time of a request that waits for the start of a server counts from when it came
--- a/tests/steps/test_http_arrivals.py
+++ b/tests/steps/test_http_arrivals.py
@@ -11,6 +11,7 @@
 import behave
 
 from pomelobend.http import arrivals
+from pomelobend.metrics import exposition
 from pomelobend import sockets
 from tests.steps import test_http_closing as closing_steps
 from tests.steps import test_http_server as server_steps
@@ -96,6 +97,12 @@
     assert abs(late_s) < SLACK_S, late_s
 
 
+@behave.then('{count:d} requests count as read late')
+def then_late(context: typing.Any, count: int) -> None:
+    assert context.server.counters.get('requests_read_late') == count
+    assert 'requests_read_late' in exposition.DESCRIPTIONS
+
+
 @behave.then('its time counts from when it is read')
 def then_read(context: typing.Any) -> None:
     late_s = last_began_at(context) - context.read_at
