A connection that closes does not end the asking for times

The socket of a connection that is closed here may be gone, and the error of asking for its times would have counted as a missing option for the whole process (asyncio), or have ended the parsing of its bytes (uvloop). The two scenarios failed before.

--- a/pomelobend/sockets.py
+++ b/pomelobend/sockets.py
@@ -60,13 +60,16 @@
 def since_input_s(transport: typing.Any) -> float:
     """Return how long ago a connection received its last bytes in s.
 
-    The kernel notes that also for a connection that waits in a backlog.
+    The kernel notes that also for a connection that waits in a backlog. It
+    is 0 for a connection that is about to close, whose socket may be gone.
 
     Raises
     ------
     OSError
         The system does not tell.
     """
+    if transport.is_closing():
+        return 0.0
     info = transport.get_extra_info('socket').getsockopt(
         socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
     )
--- a/tests/http/test_http_arrivals.feature
+++ b/tests/http/test_http_arrivals.feature
@@ -47,12 +47,27 @@
     Then they came at <came_s> s
 
     Examples:
-      | first_s | waited_s | came_s |
-      | 8.0     | 0.0      | 10.0   |
-      | 8.0     | 1.5      | 8.5    |
-      | 8.0     | 2.0      | 8.0    |
-      | 8.0     | 2.005    | 8.0    |
-      | 8.0     | 2.1      | 10.0   |
-      | 8.0     | -0.5     | 10.0   |
+      | first_s | waited_s  | came_s |
+      | 8.0     | 0.0       | 10.0   |
+      | 8.0     | 1.5       | 8.5    |
+      | 8.0     | 2.0       | 8.0    |
+      | 8.0     | 2.005     | 8.0    |
+      | 8.0     | 2.1       | 10.0   |
+      | 8.0     | -0.5      | 10.0   |
       | 8.0     | 4294967.0 | 10.0   |
-      | 10.0    | 0.004    | 10.0   |
+      | 10.0    | 0.004     | 10.0   |
+
+  # Guards against a connection that ends by which all others lose the time.
+  Scenario Outline: a connection that is closed does not end the asking, <loop>
+    Given an HTTP server whose connections may be idle for 30.0 s
+    When the time of bytes is asked for on a connection that was closed here
+    Then they came at 10.0 s
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
--- a/tests/steps/test_http_arrivals.py
+++ b/tests/steps/test_http_arrivals.py
@@ -35,6 +35,10 @@
         """Return itself, as the socket of a transport."""
         return self
 
+    def is_closing(self) -> bool:
+        """Return that the connection is open."""
+        return False
+
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
         """Return what the system tells."""
         if self.what == 'knows no such option':
@@ -139,6 +143,26 @@
     context.came_at = source.came_at(None, READ_AT_S, first_s)
 
 
+@behave.when(
+    'the time of bytes is asked for on a connection that was closed here'
+)
+def when_closed(context: typing.Any) -> None:
+    source = context.server.arrivals
+
+    async def act() -> None:
+        client = closing_steps.open_client(context)
+        await closing_steps.call(client, b'/first/')
+        (connection,) = context.server.connections
+        connection.transport.close()
+        for pause_s in (0.0, SLACK_S):
+            await asyncio.sleep(pause_s)
+            transport = connection.transport
+            context.came_at = source.came_at(transport, READ_AT_S, 0.0)
+
+    context.run(act())
+    assert source.is_known
+
+
 @behave.then('they came at {came_s:f} s')
 def then_at(context: typing.Any, came_s: float) -> None:
     assert abs(context.came_at - came_s) < 1e-9, context.came_at
