--- a/tests/http/test_http_arrivals.feature
+++ b/tests/http/test_http_arrivals.feature
@@ -5,21 +5,22 @@
     Given an HTTP server whose connections may be idle for 30.0 s
     When a request waits <what> for 0.3 s
     Then its time counts from when it came
+    And <late> requests count as read late
 
     Examples: of asyncio
-      | what                          | loop    |
-      | on a new connection           | asyncio |
-      | on a connection that was used | asyncio |
-      | behind another one            | asyncio |
-      | for the rest of its body      | asyncio |
+      | what                          | loop    | late |
+      | on a new connection           | asyncio | 1    |
+      | on a connection that was used | asyncio | 1    |
+      | behind another one            | asyncio | 2    |
+      | for the rest of its body      | asyncio | 0    |
 
     @uvloop
     Examples: of uvloop
-      | what                          | loop   |
-      | on a new connection           | uvloop |
-      | on a connection that was used | uvloop |
-      | behind another one            | uvloop |
-      | for the rest of its body      | uvloop |
+      | what                          | loop   | late |
+      | on a new connection           | uvloop | 1    |
+      | on a connection that was used | uvloop | 1    |
+      | behind another one            | uvloop | 2    |
+      | for the rest of its body      | uvloop | 0    |
 
   # Guards against a caller that leaves while its request waits for a start.
   Scenario: the time of a request that waits for the start of a server counts from when it came
@@ -46,12 +47,27 @@
     Then they came at <came_s> s
 
     Examples:
-      | first_s | waited_s | came_s |
-      | 8.0     | 0.0      | 10.0   |
-      | 8.0     | 1.5      | 8.5    |
-      | 8.0     | 2.0      | 8.0    |
-      | 8.0     | 2.005    | 8.0    |
-      | 8.0     | 2.1      | 10.0   |
-      | 8.0     | -0.5     | 10.0   |
+      | first_s | waited_s  | came_s |
+      | 8.0     | 0.0       | 10.0   |
+      | 8.0     | 1.5       | 8.5    |
+      | 8.0     | 2.0       | 8.0    |
+      | 8.0     | 2.005     | 8.0    |
+      | 8.0     | 2.1       | 10.0   |
+      | 8.0     | -0.5      | 10.0   |
       | 8.0     | 4294967.0 | 10.0   |
-      | 10.0    | 0.004    | 10.0   |
+      | 10.0    | 0.004     | 10.0   |
+
+  # Guards against a connection that ends by which all others lose the time.
+  Scenario Outline: a connection that is closed does not end the asking, <loop>
+    Given an HTTP server whose connections may be idle for 30.0 s
+    When the time of bytes is asked for on a connection that was closed here
+    Then they came at 10.0 s
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
