--- a/tests/mesh/test_mesh_stalls.feature
+++ b/tests/mesh/test_mesh_stalls.feature
@@ -19,6 +19,18 @@
       | 1.0     | 900     |
       | 6.0     | 0       |
 
+  # Guards against callers without a reply of whom nobody can tell whether the
+  # node read their requests late or replied late.
+  Scenario Outline: a reply of the node itself that is <late_ms> ms late tells so
+    When the loop is held up for <held_ms> ms while a reply is due
+    Then its log line tells that the reply was <late_ms> ms late
+    And the lateness of one reply is noted
+
+    Examples:
+      | held_ms | late_ms |
+      | 0       | 0       |
+      | 80      | 80      |
+
   # Guards against a stop that counts its time from when a node runs again.
   Scenario Outline: a signal is noted <noted_s> s after the loop has run and <read_s> s after its clock was read
     Given a node whose event loop runs
--- a/tests/steps/test_mesh_stalls.py
+++ b/tests/steps/test_mesh_stalls.py
@@ -7,6 +7,7 @@
 import types
 import typing
 
+import async_solipsism
 import behave
 from structlog import testing
 
@@ -21,6 +22,7 @@
 from tests.steps import test_routing_startup as startup_steps
 
 PAUSE_S = 0.05
+CALLER_S = 1.0
 
 
 @behave.when('an event loop is held up for {seconds:g} s')
@@ -148,6 +150,67 @@
     assert least_ms <= usual_ms <= most_ms, context.lateness
 
 
+class LateClock(model_clock.LoopClock):
+    """A clock of a loop that was held up by now."""
+
+    held_s = 0.0
+
+    def monotonic(self) -> float:
+        """Return the time with the hold-up, which the loop ignores."""
+        return super().monotonic() + self.held_s
+
+
+class SilentRemote(startup_steps.Remote):
+    """A target that never answers."""
+
+    async def call(self, *arguments: typing.Any) -> calls.Answer:
+        """Wait until cancelled."""
+        await asyncio.Event().wait()
+
+
+@behave.when('the loop is held up for {held_ms:d} ms while a reply is due')
+def when_reply_due(context: typing.Any, held_ms: int) -> None:
+    context.loop.close()
+    context.loop = async_solipsism.EventLoop()
+    context.run = context.loop.run_until_complete
+    table = startup_steps.route_table(500)
+    state = types.SimpleNamespace(table=table, version=2)
+    remote = SilentRemote()
+    remote.learn('near')
+    context.late_s = []
+
+    async def act() -> None:
+        clock = LateClock()
+        front = startup_steps.build_front(clock, state, remote)
+        front.on_last_reply.append(context.late_s.append)
+        context.loop.call_later(
+            CALLER_S / 2, setattr, clock, 'held_s', held_ms / 1000
+        )
+        headers = [
+            ('host', 'bells.example'),
+            ('x-deadline-ms', str(round(CALLER_S * 1000))),
+        ]
+        request = message.Request('POST', b'/booking/a', headers, b'')
+        with testing.capture_logs() as context.lines:
+            await front.answer(request)
+
+    context.run(act())
+
+
+@behave.then('its log line tells that the reply was {late_ms:d} ms late')
+def then_reply_late(context: typing.Any, late_ms: int) -> None:
+    (line,) = context.lines
+    assert line['event'] == 'front: call refused', line
+    assert abs(line['reply_late_ms'] - late_ms) <= 1, line
+
+
+@behave.then('the lateness of one reply is noted')
+def then_noted(context: typing.Any) -> None:
+    (late_s,) = context.late_s
+    (line,) = context.lines
+    assert round(late_s * 1000) == line['reply_late_ms'], late_s
+
+
 class NotingRemote(startup_steps.Remote):
     """A target that notes the calls that it gets."""
 
