Mesh: a target's end is earlier where its node is usually late

A node at the target counts the time of a call from when it reads it. One that read it, or the answer, over 40 ms late answered after the caller's node had replied itself: 504 of the node's own with the target at work, where the answer of the target was due. It keeps its own usual lateness back now, at most 0.15 of the time that is left.

--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -72,3 +72,21 @@
     return Deadlines(
         target, min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S)
     )
+
+
+def of_served(read_at: float, left_s: float, late_s: float) -> float:
+    """Return when a target stops to work on a call of another node.
+
+    Its node may have read the call late, and may read the answer late. An
+    answer that comes later than the reply of the other node is lost.
+
+    Parameters
+    ----------
+    read_at : float
+        Monotonic time at which this node has read the call.
+    left_s : float
+        Time that was left to it when the other node sent it.
+    late_s : float
+        Time by which the event loop of this node is usually late.
+    """
+    return read_at + left_s - min(late_s, left_s * LATE_SHARE)
--- a/tests/mesh/test_mesh_stalls.feature
+++ b/tests/mesh/test_mesh_stalls.feature
@@ -73,3 +73,18 @@
     When its last looks are 50, 50, 50, 50 ms late
     And a call of 1000 ms comes
     Then its target has 880 ms, and its reply is due after 910 ms
+
+  # Guards against a reply of the caller's node while the target is at work, as
+  # the node of the target reads calls and answers late.
+  Scenario Outline: a call of another node that has <left_ms> ms left, at a node whose looks were <lates> ms late
+    Given a node whose event loop runs
+    When its last looks are <lates> ms late
+    And another node sends a call that has <left_ms> ms left
+    Then its target has <target_ms> ms
+
+    Examples:
+      | left_ms | lates         | target_ms |
+      | 1000    | none          | 1000      |
+      | 1000    | 60*4          | 940       |
+      | 1000    | 900, 60*2, 0  | 1000      |
+      | 400     | 200*4         | 340       |
--- a/tests/steps/test_mesh_stalls.py
+++ b/tests/steps/test_mesh_stalls.py
@@ -16,6 +16,9 @@
 from pomelobend import clock as clocks
 from pomelobend.http import message
 from pomelobend import lateness as latenesses
+from pomelobend.mesh import grace as graces
+from pomelobend.mesh import target_selection
+from pomelobend.peers import messages
 from pomelobend.routing import call as call_module
 from pomelobend import stalls
 from tests.steps import clocks as test_clocks
@@ -256,3 +259,35 @@
     call = context.call
     assert round((call.deadline - call.started) * 1000) == target_ms, call
     assert round((call.reply_by - call.started) * 1000) == reply_ms, call
+
+
+@behave.when('another node sends a call that has {left_ms:d} ms left')
+def when_sent(context: typing.Any, left_ms: int) -> None:
+    builder = target_selection.CallBuilder(
+        context.clock,
+        graces.Grace(context.clock),
+        lambda: context.lateness.usual_s,
+    )
+    start = messages.CallStart(
+        1,
+        'lookup',
+        'tonabok',
+        'GET',
+        b'/lookup/a',
+        [],
+        left_ms,
+        0,
+        'late',
+        True,
+        1,
+        500,
+        b'',
+        True,
+    )
+    context.call = builder.build(start, None)
+
+
+@behave.then('its target has {target_ms:d} ms')
+def then_target_has(context: typing.Any, target_ms: int) -> None:
+    call = context.call
+    assert round((call.deadline - call.started) * 1000) == target_ms, call
