--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -20,6 +20,10 @@
 MAX_SHARE = 0.05
 """Largest share of the time of a caller that either of them may take."""
 
+LATE_SHARE = 0.15
+"""Largest share of the time of a caller, or of a call that another node has
+sent, that is kept back for the lateness of the event loop."""
+
 LIMIT_SLACK_S = 0.12
 """Time past the limit of a route in which an answer is still accepted."""
 
@@ -40,9 +44,14 @@
     reply: float
 
 
-def of(started: float, requested_s: float, limit_s: float) -> Deadlines:
+def of(
+    started: float, requested_s: float, limit_s: float, late_s: float = 0.0
+) -> Deadlines:
     """Return the ends of a call.
 
+    An answer that comes while the event loop is late reaches its caller as
+    late as the own reply does, so both end earlier by that.
+
     Parameters
     ----------
     started : float
@@ -51,12 +60,33 @@
         Time after which its caller leaves.
     limit_s : float
         Limit of its route, which the caller may outlast.
+    late_s : float
+        Time by which the event loop of this node is usually late.
     """
     leaves_at = started + requested_s
     most_s = requested_s * MAX_SHARE
-    reply = leaves_at - min(REPLY_TRAVEL_S, most_s)
+    reply_s = min(REPLY_TRAVEL_S, most_s)
+    reply = leaves_at - reply_s - min(late_s, requested_s * LATE_SHARE)
     target = min(reply - min(ANSWER_TRAVEL_S, most_s), started + limit_s)
     # A limit is over only when the loop has read what came before it.
     return Deadlines(
         target, min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S)
     )
+
+
+def of_served(read_at: float, left_s: float, late_s: float) -> float:
+    """Return when a target stops to work on a call of another node.
+
+    Its node may have read the call late, and may read the answer late. An
+    answer that comes later than the reply of the other node is lost.
+
+    Parameters
+    ----------
+    read_at : float
+        Monotonic time at which this node has read the call.
+    left_s : float
+        Time that was left to it when the other node sent it.
+    late_s : float
+        Time by which the event loop of this node is usually late.
+    """
+    return read_at + left_s - min(late_s, left_s * LATE_SHARE)
