--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -57,3 +57,16 @@
     And routes whose calls may take 12 s
     When 60 callers that leave after 1000 ms call silent targets, at a node that is held up for up to 80 ms half of the time
     Then 7 in 10 callers have an answer
+
+  # Guards against second attempts near a deadline that end without an answer.
+  Scenario Outline: a caller that has <deadline_ms> ms left gets its reply <before_ms> ms before it leaves
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a caller sends 21 GET calls of 5 s in turn, each with <deadline_ms> ms left
+    Then half of the replies came <before_ms> ms or more before their deadlines
+
+    Examples:
+      | deadline_ms | before_ms |
+      | 45          | 8         |
+      | 60          | 10        |
+      | 80          | 10        |
