--- a/tests/http/test_http_arrivals.feature
+++ b/tests/http/test_http_arrivals.feature
@@ -7,19 +7,21 @@
     Then its time counts from when it came
 
     Examples: of asyncio
-      | what                          | loop    |
-      | on a new connection           | asyncio |
-      | on a connection that was used | asyncio |
-      | behind another one            | asyncio |
-      | for the rest of its body      | asyncio |
+      | what                                    | loop    |
+      | on a new connection                     | asyncio |
+      | on a connection that was used           | asyncio |
+      | behind another one                      | asyncio |
+      | for the rest of its body                | asyncio |
+      | with a body that a socket cannot hold   | asyncio |
 
     @uvloop
     Examples: of uvloop
-      | what                          | loop   |
-      | on a new connection           | uvloop |
-      | on a connection that was used | uvloop |
-      | behind another one            | uvloop |
-      | for the rest of its body      | uvloop |
+      | what                                    | loop   |
+      | on a new connection                     | uvloop |
+      | on a connection that was used           | uvloop |
+      | behind another one                      | uvloop |
+      | for the rest of its body                | uvloop |
+      | with a body that a socket cannot hold   | uvloop |
 
   # Guards against a caller that leaves while its request waits for a start.
   Scenario: the time of a request that waits for the start of a server counts from when it came
--- a/tests/steps/test_http_arrivals.py
+++ b/tests/steps/test_http_arrivals.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import threading
 import time
 import typing
 
@@ -20,6 +21,7 @@
 REQUESTS = 3
 LAST = b'/last/'
 BODY = b'hello'
+LARGE_BODY = bytes(1_000_000)
 KEPT = {'waits on a connection that was used'}
 
 
@@ -69,6 +71,11 @@
         client.sendall(data[: -len(BODY)])
         context.run(asyncio.sleep(0.1))
         data = BODY
+    elif what == 'waits with a body that a socket cannot hold':
+        context.server.bounds.body_bytes = len(LARGE_BODY)
+        data = closing_steps.request(LAST, LARGE_BODY)
+        threading.Thread(target=client.sendall, args=(data,)).start()
+        return client
     elif what == 'waits behind another one':
         client.sendall(closing_steps.request(b'/first/'))
     client.sendall(data)
