Start: a call whose objective passed unread waits; Retry-After of what is left

Since requests count from when they came, a call that waited for the start of its node past its objective was refused at once if no target was known yet (delivery waits for a share of the time to the objective, which was negative). It waits for a share of the time to its deadline now.

Retry-After of a request that has no call (no configuration, deadline passed) was a share of the whole time of the caller, also where most of it was over.

--- a/pomelobend/routing/startup.py
+++ b/pomelobend/routing/startup.py
@@ -17,6 +17,7 @@
     from collections import abc
 
     from pomelobend import clock as clocks
+    from pomelobend.routing import call as call_module
 
 DISCOVERY_S = 1.5
 """Time after the start within which calls may wait. Later, what a node does
@@ -28,11 +29,18 @@
 
 DEADLINE_SHARE = 0.15
 """The same as a share of the time to the deadline, for calls whose objective
-is not known without a configuration."""
+is not known without a configuration, or has passed before they were read."""
 
 CHECK_INTERVAL_S = 0.02
 
 
+def longest_wait_s(call: call_module.Call, now: float) -> float:
+    """Return how long a call may wait from now on, in s."""
+    if call.due > now:
+        return (call.due - now) * OBJECTIVE_SHARE
+    return (call.deadline - now) * DEADLINE_SHARE
+
+
 @attrs.define(eq=False)
 class StartupWait:
     """Lets calls wait until the node knows enough to deliver them.
--- a/tests/routing/test_routing_startup.feature
+++ b/tests/routing/test_routing_startup.feature
@@ -34,3 +34,15 @@
     When 40 calls with an objective of 0.5 s arrive evenly in the first 0.4 s
     Then at least 38 of them are sent, each within 0.25 s
     And run times of 0.2 s would leave all of them in time
+
+  # Guards against a refusal at once where the caller still waits.
+  Scenario: a call whose objective has passed in its socket waits for a target
+    Given a node that starts and learns of a target after 0.2 s
+    When a call with an objective of 0.5 s is read 0.1 s after the start, having waited for 0.6 s
+    Then it is sent after 0.1 s
+
+  # Guards against a retry that comes when its caller has hardly any time left.
+  Scenario: calls that waited in their sockets are refused for a part of what is left
+    Given a node that starts and learns of a configuration after 5.0 s
+    When 40 calls with a deadline of 2.0 s are read 0.1 s after the start, having waited for 1.2 s
+    Then all are refused until at most a third of what is left to them
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -123,6 +123,7 @@
     context.run = context.loop.run_until_complete
     context.state = types.SimpleNamespace(table=table, version=2)
     context.remote = Remote()
+    context.replies = []
 
     async def start() -> None:
         context.clock = clock.LoopClock()
@@ -162,7 +163,7 @@
 
 
 async def call(
-    context: typing.Any, at_s: float, deadline_s: float
+    context: typing.Any, at_s: float, deadline_s: float, waited_s: float = 0.0
 ) -> tuple[int, float]:
     """Send a call some time after the start; return status and duration."""
     await asyncio.sleep(at_s)
@@ -176,10 +177,13 @@
         ],
         b'',
         True,
+        context.clock.monotonic() - waited_s,
     )
     sent_at = context.clock.monotonic()
     reply = await context.front.answer(request)
-    return reply.status, context.clock.monotonic() - sent_at
+    now = context.clock.monotonic()
+    context.replies.append((reply, deadline_s - waited_s - (now - sent_at)))
+    return reply.status, now - sent_at
 
 
 @behave.when(
@@ -197,6 +201,41 @@
     context.found = context.run(call(context, at_s, deadline_s))
 
 
+@behave.when(
+    'a call with an objective of 0.5 s is read {at_s:f} s after the start, '
+    'having waited for {waited_s:f} s'
+)
+def when_waited(context: typing.Any, at_s: float, waited_s: float) -> None:
+    context.found = context.run(call(context, at_s, 3.0, waited_s))
+
+
+@behave.when(
+    '{count:d} calls with a deadline of {deadline_s:f} s are read {at_s:f} s '
+    'after the start, having waited for {waited_s:f} s'
+)
+def when_all_waited(
+    context: typing.Any,
+    count: int,
+    deadline_s: float,
+    at_s: float,
+    waited_s: float,
+) -> None:
+    async def act() -> None:
+        await asyncio.gather(
+            *(call(context, at_s, deadline_s, waited_s) for _ in range(count))
+        )
+
+    context.run(act())
+
+
+@behave.then('all are refused until at most a third of what is left to them')
+def then_third(context: typing.Any) -> None:
+    for reply, left_s in context.replies:
+        assert reply.status == 503, reply
+        wait_s = float(dict(reply.headers)['retry-after'])
+        assert wait_s <= left_s / 3 + 0.001, (wait_s, left_s)
+
+
 @behave.then('it is {outcome} after {held_s:f} s')
 def then_outcome(context: typing.Any, outcome: str, held_s: float) -> None:
     status, took_s = context.found
