--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 import typing
 
@@ -31,7 +30,6 @@
 PROMISES = (503, 429, 408, 421)
 FINAL = (400, 401, 404, 413, 431)
 IDLE_SHARE = 0.8
-MAX_WORK_S = 3.0
 LEAST_S = 0.03
 """Time below which no attempt is begun."""
 
@@ -129,13 +127,12 @@
         rng = self.rng
         nested = kind.nested
         has_nested = nested is not None and rng.random() < nested.share
-        work_s = rng.lognormvariate(math.log(kind.work_s), kind.spread)
         return clients.Request(
             f'{self.prefix}{self.number}-{len(self.requests)}',
             vm,
             kind.method,
             f'/{kind.route}/a',
-            round(min(work_s, MAX_WORK_S), 3),
+            kind.draw_work_s(rng),
             round(left_s, 3),
             round(kind.bytes_down * rng.uniform(0.3, 2)),
             round(kind.bytes_up * rng.uniform(0.3, 2)),
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import attrs
@@ -13,6 +14,9 @@
     import random
 
 MAX_ATTEMPTS = 2
+MAX_WORK_S = 3.0
+TAIL = 4.0
+TAIL_SHARE = 0.01
 
 
 @attrs.frozen
@@ -54,6 +58,8 @@
         Median of the processing time, and sigma of its logarithm.
     bytes_up, bytes_down : int
         Usual sizes of the bodies.
+    tail : float
+        Factor of the processing time of a few requests (``TAIL_SHARE``).
     """
 
     route: str
@@ -69,6 +75,14 @@
     bytes_up: int = 0
     bytes_down: int = 1500
     route_limit_s: float = clients.ROUTE_LIMIT_S
+    tail: float = 1.0
+
+    def draw_work_s(self, rng: random.Random) -> float:
+        """Return the processing time of a request in s."""
+        work_s = rng.lognormvariate(math.log(self.work_s), self.spread)
+        if self.tail > 1 and rng.random() < TAIL_SHARE:
+            work_s *= self.tail
+        return round(min(work_s, MAX_WORK_S), 3)
 
     def rule(self, rng: random.Random) -> dict:
         """Return its route, at times with a second service."""
@@ -146,6 +160,7 @@
     kinds: tuple[Kind, ...] = ()
     layout: tuple[str, ...] = ()
     targets: Targets = Targets()
+    heartbeat_ms: int = 300
 
     def place(self, number: int) -> tuple[str, str]:
         """Return failure domain and service of the VM of a number."""
@@ -306,7 +321,10 @@
 
 
 def with_open_connections(
-    deployment: Deployment, targets: Targets, **methods: str
+    deployment: Deployment,
+    targets: Targets,
+    heartbeat_ms: int,
+    **methods: str,
 ) -> Deployment:
     """Return a deployment whose clients keep connections for all kinds.
 
@@ -319,6 +337,7 @@
         attrs.evolve(
             kind,
             is_kept=bool(kind.share),
+            tail=TAIL,
             method=methods.get(kind.route, kind.method),
         )
         for kind in deployment.kinds
@@ -327,6 +346,7 @@
         deployment,
         kinds=tuple(kinds),
         targets=targets,
+        heartbeat_ms=heartbeat_ms,
         layout=deployment.layout or _spread(deployment.services),
     )
 
@@ -348,6 +368,7 @@
 SHORT_DEADLINES_OPEN = with_open_connections(
     SHORT_DEADLINES,
     Targets(queue=24, paces=(0.6, 1.0, 1.0, 0.7, 1.5), connections=120),
+    heartbeat_ms=1500,
     pay='DELETE',
 )
 
@@ -359,4 +380,5 @@
         paces=(0.7, 1.0, 1.5, 0.8),
         connections=130,
     ),
+    heartbeat_ms=900,
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -73,6 +73,7 @@
     async def start(self, count: int, *, has_proxies: bool) -> None:
         """Start everything and wait until calls are answered."""
         self.slots = self.deployment.slots
+        self.heartbeat_ms = self.deployment.heartbeat_ms
         self.targets_drop = bool(self.deployment.kinds)
         await self.start_store()
         await self._put_store_proxy()
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -194,6 +194,10 @@
       | is not ready | 60  | 140  |
       | starts       | 550 | 650  |
 
+  Scenario: a few requests of deployments with open connections take long
+    When a kind of work of 0.1 s with a tail of 10 is drawn 10000 times
+    Then 60 to 140 times are longer than 0.8 s
+
   Scenario: clients of deployments with open connections
     Then all requests of clients there keep their connections
 
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -427,6 +427,28 @@
     assert low <= count <= high, count
 
 
+@behave.when(
+    'a kind of work of {work_s:g} s with a tail of {tail:g} is drawn '
+    '{count:d} times'
+)
+def when_drawn(
+    context: typing.Any, work_s: float, tail: float, count: int
+) -> None:
+    kind = deployments.Kind(
+        'a', 'tonabok', 'GET', work_s, 2.0, spread=0.05, tail=tail
+    )
+    rng = random.Random(1)
+    context.times = [kind.draw_work_s(rng) for _ in range(count)]
+
+
+@behave.then('{low:d} to {high:d} times are longer than {seconds:g} s')
+def then_longer(
+    context: typing.Any, low: int, high: int, seconds: float
+) -> None:
+    count = sum(item > seconds for item in context.times)
+    assert low <= count <= high, count
+
+
 @behave.then('all requests of clients there keep their connections')
 def then_all_kept(context: typing.Any) -> None:
     for deployment in (
