--- a/soak/report.py
+++ b/soak/report.py
@@ -49,6 +49,7 @@
         ),
         *_reply_times(world, requests),
         *_closes(world, requests),
+        *_silences(world, findings),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
     shown: collections.Counter = collections.Counter()
@@ -113,6 +114,26 @@
         )
 
 
+def _silences(
+    world: worlds.World, findings: list[checks.Finding]
+) -> typing.Iterator[str]:
+    """Yield a line on each request that had no answer by its deadline."""
+    for item in findings:
+        if item.label not in (checks.NO_ANSWER, checks.UNSURE):
+            continue
+        request, base = item.request, item.request.sent_at
+        runs = ' '.join(
+            f'{run.vm} {run.began - base:+.3f} to {run.ended - base:+.3f}'
+            for run in item.runs
+        )
+        late_s = world.lag_s(base, request.ended_at)
+        yield (
+            f'silence: {request.identity} {request.method} at {request.vm}, '
+            f'{request.deadline_s:.2f} s, place {request.place}, soak late by '
+            f'{late_s:.2f} s, own: {" ".join(item.own)}, ran: {runs or "no"}'
+        )
+
+
 def _describe(world: worlds.World, item: checks.Finding) -> list[str]:
     request, base = item.request, item.request.sent_at
     vms = {request.vm, *(run.vm for run in item.runs)}
