Measure deadline replies: leave out calls whose caller was late itself

At a load average of 42 the callers' own loop was up to 98 ms late, and calls counted as unanswered that it had read late. A call is left out if that loop was over 5 ms late within 20 ms of its deadline; the result tells how many.

--- a/benchmarks/deadline_replies.py
+++ b/benchmarks/deadline_replies.py
@@ -36,6 +36,10 @@
 REACHED_SHARE = 0.5
 """Share of its time from which on a call counts as one at its deadline."""
 
+NEAR_S = 0.02
+"""Time around a deadline in which the callers' own loop must not be late; a
+call is left out otherwise."""
+
 SETTLE_S = 2.0
 """Time for which the node is held up before the first call is sent."""
 
@@ -169,8 +173,11 @@
     in_time: dict[float, list[bool]] = {}
     if_read: list[bool] = []
     left_s: list[float] = []
-    early = of_target = 0
+    early = of_target = by_late_caller = 0
     for deadline_s, sent_at, took_s, _, is_of_target in seen['calls']:
+        if _is_late(seen['late_spans'], sent_at + deadline_s):
+            by_late_caller += 1
+            continue
         if took_s is not None and took_s < REACHED_SHARE * deadline_s:
             early += 1
             continue
@@ -185,6 +192,7 @@
     return {
         'at_deadline': len(answered),
         'ended_early': early,
+        'left_out': by_late_caller,
         'in_time': _mean(answered),
         'in_time_from_reading': _mean(if_read),
         'of_target': round(of_target / max(1, len(answered)), 3),
@@ -195,6 +203,14 @@
     }
 
 
+def _is_late(spans: list[list[float]], leaves_at: float) -> bool:
+    """Return whether a caller may itself have read its answer late."""
+    return any(
+        began < leaves_at + NEAR_S and leaves_at - NEAR_S < ended
+        for began, ended in spans
+    )
+
+
 def _mean(items: list[bool]) -> float:
     return round(sum(items) / max(1, len(items)), 3)
 
--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -22,6 +22,7 @@
 
 STAY_S = 0.4
 LOOK_S = 0.01
+LATE_S = 0.005
 PROBE_S = 0.1
 HEAD_END = b'\r\n\r\n'
 
@@ -63,11 +64,14 @@
         Deadline in s, time of sending, time until the answer, status and
         whether the answer is a target's.
     late_s, probe_s : list of float
+    late_spans : list of list of float
+        Monotonic times between which the callers' loop stood still.
     """
 
     calls: list[list] = attrs.field(factory=list)
     late_s: list[float] = attrs.field(factory=list)
     probe_s: list[float] = attrs.field(factory=list)
+    late_spans: list[list[float]] = attrs.field(factory=list)
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -110,7 +114,10 @@
     while True:
         due = time.monotonic() + LOOK_S
         await asyncio.sleep(LOOK_S)
-        records.late_s.append(time.monotonic() - due)
+        now = time.monotonic()
+        records.late_s.append(now - due)
+        if now - due > LATE_S:
+            records.late_spans.append([due, now])
 
 
 async def _probe(address: str, path: str, records: Records) -> None:
