--- a/tests/http/test_http_arrivals.feature
+++ b/tests/http/test_http_arrivals.feature
@@ -8,21 +8,21 @@
     And <late> requests count as read late
 
     Examples: of asyncio
-      | what                          | loop    | late |
-      | on a new connection           | asyncio | 1    |
-      | on a connection that was used | asyncio | 1    |
-      | behind another one            | asyncio | 2    |
-      | for the rest of its body      | asyncio | 0    |
+      | what                                  | loop    | late |
+      | on a new connection                   | asyncio | 1    |
+      | on a connection that was used         | asyncio | 1    |
+      | behind another one                    | asyncio | 2    |
+      | for the rest of its body              | asyncio | 0    |
       | with a body that a socket cannot hold | asyncio | 1    |
 
     @uvloop
     Examples: of uvloop
-      | what                          | loop   | late |
-      | on a new connection           | uvloop | 1    |
-      | on a connection that was used | uvloop | 1    |
-      | behind another one            | uvloop | 2    |
-      | for the rest of its body      | uvloop | 0    |
-      | with a body that a socket cannot hold | uvloop | 1    |
+      | what                                  | loop    | late |
+      | on a new connection                   | uvloop  | 1    |
+      | on a connection that was used         | uvloop  | 1    |
+      | behind another one                    | uvloop  | 2    |
+      | for the rest of its body              | uvloop  | 0    |
+      | with a body that a socket cannot hold | uvloop  | 1    |
 
   # Guards against a caller that leaves while its request waits for a start.
   Scenario: the time of a request that waits for the start of a server counts from when it came
