Soak: overlapping configurations keep the idle limit that callers rely on

A configuration within two seconds of one that raised the idle limit sent the old limit again, while the first one's timer let callers rely on the raised one. They then used connections that a node may close.

The last configured limit is kept apart from the one that callers rely on, which rises only when the last configuration is applied. The scenario is new, its functions did not exist before.

--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -159,13 +159,11 @@
 
 async def _configure(world: worlds.World, **limits: int) -> None:
     began, document = time.time(), world.next_document(**limits)
-    idle_ms = document['limits']['idle_timeout_ms']
-    world.idle_timeout_ms = min(world.idle_timeout_ms, idle_ms)
     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
         async with asyncio.timeout(WRITE_S):
             await world.write('config', 'main', document, is_new=False)
         loop = asyncio.get_running_loop()
-        loop.call_later(APPLIED_S, setattr, world, 'idle_timeout_ms', idle_ms)
+        loop.call_later(APPLIED_S, world.note_applied, world.version)
     world.note('config', '*', began, str(limits or ''))
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -44,6 +44,10 @@
         to be ready.
     out : set of str
         VMs that get no new requests, since their nodes are not ready.
+    idle_timeout_ms : int
+        Idle limit that callers may rely on.
+    configured_idle_ms : int
+        Idle limit of the last configuration, which may not be in force yet.
     lags : list of tuple
         Unix times between which the soak itself was held up.
     crowds : list of Request
@@ -57,6 +61,7 @@
     random: random.Random = attrs.field(factory=random.Random)
     version: int = 2
     idle_timeout_ms: int = 4000
+    configured_idle_ms: int = 4000
     held: set[str] = attrs.field(factory=set)
     replaced: set[str] = attrs.field(factory=set)
     out: set[str] = attrs.field(factory=set)
@@ -128,10 +133,19 @@
         """Return the next configuration, with some values changed."""
         self.version += self.random.randint(1, 3)
         document = self.deployment.document(self.version, self.random)
-        idle = {'idle_timeout_ms': self.idle_timeout_ms}
+        idle = {'idle_timeout_ms': self.configured_idle_ms}
         document['limits'] |= idle | limits
+        self.configured_idle_ms = document['limits']['idle_timeout_ms']
+        self.idle_timeout_ms = min(
+            self.idle_timeout_ms, self.configured_idle_ms
+        )
         return document
 
+    def note_applied(self, version: int) -> None:
+        """Let callers rely on a configuration unless a newer one was sent."""
+        if version == self.version:
+            self.idle_timeout_ms = self.configured_idle_ms
+
     async def sleep(self, low_s: float, high_s: float) -> None:
         """Wait for a random time."""
         await asyncio.sleep(self.random.uniform(low_s, high_s))
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -230,3 +230,12 @@
       | without an answer  | 4.9 | 1        |
       | with a 504         | 5.3 | 0        |
       | with a 504         | 4.9 | 1        |
+
+  # Guards against callers that rely on an idle limit which is not in force.
+  Scenario: callers know the idle limit of configurations that overlap
+    Given a soak whose idle limit is 1000 ms
+    When configurations with a limit of 4000 ms, and without one, are sent
+    And the first of them is applied
+    Then callers rely on 1000 ms
+    When the last of them is applied
+    Then callers rely on 4000 ms
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -458,3 +458,35 @@
         kinds = [kind for kind in deployment.kinds if kind.share]
         assert all(kind.is_kept for kind in kinds), kinds
         assert 'DELETE' in [kind.method for kind in kinds], kinds
+
+
+@behave.given('a soak whose idle limit is {idle_ms:d} ms')
+def given_idle(context: typing.Any, idle_ms: int) -> None:
+    context.world = _world()
+    context.world.next_document(idle_timeout_ms=idle_ms)
+    context.world.note_applied(context.world.version)
+
+
+@behave.when(
+    'configurations with a limit of {idle_ms:d} ms, and without one, are sent'
+)
+def when_sent(context: typing.Any, idle_ms: int) -> None:
+    context.world.next_document(idle_timeout_ms=idle_ms)
+    context.first = context.world.version
+    document = context.world.next_document()
+    assert document['limits']['idle_timeout_ms'] == idle_ms, document
+
+
+@behave.when('the first of them is applied')
+def when_first_applied(context: typing.Any) -> None:
+    context.world.note_applied(context.first)
+
+
+@behave.when('the last of them is applied')
+def when_last_applied(context: typing.Any) -> None:
+    context.world.note_applied(context.world.version)
+
+
+@behave.then('callers rely on {idle_ms:d} ms')
+def then_rely(context: typing.Any, idle_ms: int) -> None:
+    assert context.world.idle_timeout_ms == idle_ms
