--- a/soak/run.py
+++ b/soak/run.py
@@ -127,39 +127,32 @@
 
 STAY_SHARE = 0.7
 STRAY_SHARE = 0.15
-OPEN_MIXES = {
-    'open-short': Mix(
-        OPEN_SERIES,
-        deployment=deployments.SHORT_DEADLINES_OPEN,
-        stay_share=STAY_SHARE,
-    ),
-    'open-longer': Mix(
-        OPEN_SERIES,
-        deployment=deployments.LONGER_DEADLINES_OPEN,
-        stay_share=STAY_SHARE,
-    ),
-    'slow-short': Mix(
-        (*OPEN_SERIES, troubles.slow, troubles.slow),
-        deployment=deployments.SHORT_DEADLINES_OPEN,
-        stay_share=STAY_SHARE,
-    ),
-    'slow-longer': Mix(
-        (*OPEN_SERIES, troubles.slow, troubles.slow),
-        deployment=deployments.LONGER_DEADLINES_OPEN,
-        stay_share=STAY_SHARE,
-    ),
-    'stray-short': Mix(
-        OPEN_SERIES,
-        deployment=deployments.SHORT_DEADLINES_OPEN,
-        stay_share=STAY_SHARE,
-        stray_share=STRAY_SHARE,
-    ),
-    'stray-longer': Mix(
-        OPEN_SERIES,
-        deployment=deployments.LONGER_DEADLINES_OPEN,
+
+
+def _open(
+    deployment: deployments.Deployment, *series: Act, stray_share: float = 0.0
+) -> Mix:
+    """Return stops whose callers go on using open connections, and more."""
+    return Mix(
+        (*OPEN_SERIES, *series),
+        deployment=deployment,
         stay_share=STAY_SHARE,
-        stray_share=STRAY_SHARE,
-    ),
+        stray_share=stray_share,
+    )
+
+
+OPEN_DEPLOYMENTS = {
+    'short': deployments.SHORT_DEADLINES_OPEN,
+    'longer': deployments.LONGER_DEADLINES_OPEN,
+}
+OPEN_MIXES = {
+    f'{kind}-{name}': mix
+    for name, deployment in OPEN_DEPLOYMENTS.items()
+    for kind, mix in (
+        ('open', _open(deployment)),
+        ('slow', _open(deployment, troubles.slow, troubles.slow)),
+        ('stray', _open(deployment, stray_share=STRAY_SHARE)),
+    )
 }
 MIXES = (
     SHORT_MIXES
