--- a/benchmarks/deadline_replies.py
+++ b/benchmarks/deadline_replies.py
@@ -11,7 +11,6 @@
 import asyncio
 import bisect
 import contextlib
-import json
 import os
 import random
 import signal
@@ -135,20 +134,6 @@
     return mesh
 
 
-async def call(plan: dict[str, typing.Any]) -> dict[str, typing.Any]:
-    """Run callers in a process of their own; return what they saw."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'benchmarks.leaving',
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-        cwd=fleets.ROOT,
-    )
-    output, _ = await process.communicate(json.dumps(plan).encode())
-    return json.loads(output)
-
-
 def percentiles_ms(seconds: typing.Iterable[float]) -> dict[str, float]:
     """Return the median, two high percentiles and the maximum in ms."""
     found = sorted(seconds) or [0.0]
@@ -242,7 +227,7 @@
             if args.busy:
                 stack.enter_context(busy(fleet, held.node, args.busy))
             await asyncio.sleep(SETTLE_S)
-            seen = await call(plan)
+            seen = await measure.load(plan, 'benchmarks.leaving')
         after = measure.Usage.of(held.node)
         if args.logs:
             print(held.node.log.read_text(), file=sys.stderr)
