--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -21,6 +21,9 @@
 SLOW_S = (2.0, 5.0)
 """Factor of the processing times of a target that is slow, and how long."""
 
+ODD_S = (1.0, 3.0)
+"""How long a target answers oddly."""
+
 ODD = ('lost', 'cut', 'bytes', 'extra', 'silent')
 
 
@@ -47,11 +50,9 @@
     name = _pick_target(world)
     if not name:
         return
-    began, address = time.time(), world.vms[name].addresses['app']
+    began = time.time()
     odd = {world.random.choice(ODD): world.random.randint(1, 6)}
-    await world.post_control(address, 'change', odd=odd)
-    await world.sleep(1.0, 3.0)
-    await world.post_control(address, 'change', odd={})
+    await _change_for(world, name, ODD_S, {'odd': odd}, {'odd': {}})
     world.note('odd', name, began, str(odd))
     world.replaced.discard(name)
 
@@ -62,16 +63,30 @@
     name = _pick_target(world)
     if not name:
         return
-    began, address = time.time(), world.vms[name].addresses['app']
+    began = time.time()
     pace = world.deployment.targets.pace(list(world.vms).index(name))
     factor = world.random.uniform(*SLOWER)
-    await world.post_control(address, 'change', pace=pace * factor)
-    await world.sleep(*SLOW_S)
-    await world.post_control(address, 'change', pace=pace)
+    await _change_for(
+        world, name, SLOW_S, {'pace': pace * factor}, {'pace': pace}
+    )
     world.note('slow', name, began, f'factor {factor:.1f}')
     world.replaced.discard(name)
 
 
+async def _change_for(
+    world: worlds.World,
+    name: str,
+    range_s: tuple[float, float],
+    changed: dict[str, typing.Any],
+    restored: dict[str, typing.Any],
+) -> None:
+    """Change a target for a random time in s."""
+    address = world.vms[name].addresses['app']
+    await world.post_control(address, 'change', **changed)
+    await world.sleep(*range_s)
+    await world.post_control(address, 'change', **restored)
+
+
 async def vex_store(world: worlds.World) -> None:
     """Let the store be slow, silent, away, forgetful, or refuse some."""
     await world.sleep(0.5, 3.0)
