--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -10,6 +10,9 @@
 
 from pomelobend import limits
 
+DEFAULT_S = 60.0
+"""Time of a caller that states none."""
+
 REPLY_TRAVEL_S = 0.03
 """Time for a reply to reach its caller, short delays of the node included."""
 
--- /dev/null
+++ b/tests/mesh/test_mesh_slow_start.feature
@@ -0,0 +1,23 @@
+Feature: calls that come while a node loads its modules
+
+  # Guards against requests that nobody reads until a slow start has ended.
+  Scenario Outline: callers that leave before the end of a start have an answer
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When callers that leave after <deadline_ms> ms send 20 <method> calls to a node that loads its modules in <seconds> s
+    Then each of these calls has an answer
+    And each that was refused may come back before its caller leaves
+    And none of them that was refused has run
+
+    Examples:
+      | method | deadline_ms | seconds |
+      | POST   | 1000        | 2       |
+      | GET    | 1000        | 2       |
+      | POST   | 1500        | 3       |
+
+  # Guards against a start that refuses those who can wait for its end.
+  Scenario: callers that outlast a start are answered by targets
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When callers that leave after 6000 ms send 20 GET calls to a node that loads its modules in 1 s
+    Then 19 of these calls have the answer of a target
--- /dev/null
+++ b/tests/steps/test_mesh_slow_start.py
@@ -0,0 +1,95 @@
+"""Steps for calls to a node that loads its modules slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import behave
+
+from standins import slow_modules
+from tests.steps import test_mesh_deadlines as deadline_steps
+from tests.steps import test_mesh_held_up as held_up_steps
+from tests.steps import test_mesh_stop as stop_steps
+
+MODULES = 90
+"""Modules of the project that a node loads, or somewhat fewer."""
+
+WORK_S = 0.05
+REFUSED = 503
+
+
+@behave.when(
+    'callers that leave after {deadline_ms:d} ms send {count:d} {method:w} '
+    'calls to a node that loads its modules in {seconds:g} s'
+)
+def when_slow(
+    context: typing.Any,
+    deadline_ms: int,
+    count: int,
+    method: str,
+    seconds: float,
+) -> None:
+    vm = context.mesh.vms[held_up_steps.NODE]
+    vm.module = 'standins.slow_modules'
+    vm.environment[slow_modules.SECONDS] = str(seconds / MODULES)
+    context.deadline_ms = deadline_ms
+    identities = [f'slow-{number}' for number in range(count)]
+
+    async def act() -> None:
+        await deadline_steps.restart(context)
+        started = []
+        for identity in identities:
+            started.append(_start(context, method, identity))
+            await asyncio.sleep(deadline_steps.CALL_PAUSE_S)
+        answers = await asyncio.gather(*started)
+        context.answers = answers
+        context.by_identity = dict(zip(identities, answers, strict=True))
+        context.runs = await stop_steps.runs(context)
+
+    context.run(act())
+
+
+def _start(context: typing.Any, method: str, identity: str) -> asyncio.Task:
+    headers = {
+        'x-work-s': str(WORK_S),
+        'x-deadline-ms': str(context.deadline_ms),
+    }
+    return asyncio.create_task(
+        context.mesh.call(
+            held_up_steps.NODE,
+            deadline_steps.PATHS[method],
+            identity,
+            method,
+            context.deadline_ms / 1000,
+            **headers,
+        )
+    )
+
+
+@behave.then('each that was refused may come back before its caller leaves')
+def then_told(context: typing.Any) -> None:
+    for status, headers, _ in context.answers:
+        if status == REFUSED:
+            wait_s = float(headers['retry-after'])
+            assert 0 < wait_s < context.deadline_ms / 1000, headers
+
+
+@behave.then('none of them that was refused has run')
+def then_not_run(context: typing.Any) -> None:
+    ran = [
+        identity
+        for identity, (status, *_) in context.by_identity.items()
+        if status == REFUSED and context.runs[identity]
+    ]
+    assert not ran, ran
+
+
+@behave.then('{count:d} of these calls have the answer of a target')
+def then_served(context: typing.Any, count: int) -> None:
+    served = [
+        headers
+        for _, headers, _ in context.answers
+        if 'x-response-signature' in headers
+    ]
+    assert len(served) >= count, context.answers
