Grace: while a node stops, callers at their deadline are not replied to early

A node that stops gave its own 504 40 ms before the deadline of a caller, and earlier beside a late loop, although the target was at work: the rule on answers after SIGTERM excuses only a limit that is reached. The reply leaves early so that it reaches callers in time; beside a stop that takes the answer of a target that is about to come away from them.

While a node stops, it now waits until the caller's deadline, or until the limit of the route is over.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -62,6 +62,9 @@
         their deadlines, at which no more connections are accepted, at which
         callers that still wait get their replies, and at which connections
         are closed; infinite before SIGTERM.
+    timeouts : dict of asyncio.Timeout to float
+        The limits of the calls in flight, and the monotonic times that apply
+        in their place once the grace period has begun.
     """
 
     clock: clocks.Clock
@@ -69,7 +72,7 @@
     listens_until: float = math.inf
     replies_until: float = math.inf
     closes_at: float = math.inf
-    timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
+    timeouts: dict[asyncio.Timeout, float] = attrs.field(factory=dict)
 
     def begin(
         self,
@@ -77,7 +80,7 @@
         signalled_at: float,
         noted_at: float | None = None,
     ) -> None:
-        """Start the grace period and shorten the timeouts that exceed it.
+        """Start the grace period, by which the limits of calls change.
 
         It counts from the time of the signal. If little of it is left, half
         of that is for what has arrived but has not been read yet, and for the
@@ -105,14 +108,15 @@
             signalled_at + ACCEPT_S, end - LAST_ACCEPT_S, self.replies_until
         )
         self.listens_until = min(now + ACCEPT_S, self.replies_until)
-        self._shorten_timeouts(now)
+        self._move_timeouts(now)
 
-    def _shorten_timeouts(self, now: float) -> None:
-        end = asyncio.get_running_loop().time() + self.replies_until - now
+    def _move_timeouts(self, now: float) -> None:
+        loop_now = asyncio.get_running_loop().time()
         # asyncio refuses to move a timeout that was reached in this moment.
-        for timeout in self.timeouts:
+        for timeout, last in self.timeouts.items():
             if not timeout.expired():
-                timeout.reschedule(min(timeout.when(), end))
+                end = min(last, self.replies_until)
+                timeout.reschedule(loop_now + end - now)
 
     def check(self, deadline: float) -> None:
         """Refuse a new call that would outlast the grace period.
@@ -143,7 +147,24 @@
         if deadline > self.replies_until:
             raise errors.CallRefusedError(errors.Reason.STOPPING)
 
-    async def wait(self, task: asyncio.Task[T], deadline: float) -> T:
+    def limit(self, deadline: float, last: float) -> float:
+        """Return the limit that is in force, as a monotonic time.
+
+        Parameters
+        ----------
+        deadline, last : float
+            The limits before the grace period and in it.
+        """
+        if math.isinf(self.replies_until):
+            return deadline
+        return min(last, self.replies_until)
+
+    async def wait(
+        self,
+        task: asyncio.Task[T],
+        deadline: float,
+        last: float | None = None,
+    ) -> T:
         """Return the result of a task, within the limits of ``timeout``.
 
         What arrived before the limit counts, also if the loop was held up
@@ -154,27 +175,37 @@
         TimeoutError
         """
         with contextlib.suppress(TimeoutError):
-            async with self.timeout(deadline):
+            async with self.timeout(deadline, last):
                 return await asyncio.shield(task)
         async with limits.Limit(0.0):
             return await asyncio.shield(task)
 
     @contextlib.asynccontextmanager
-    async def timeout(self, deadline: float) -> abc.AsyncIterator[None]:
+    async def timeout(
+        self, deadline: float, last: float | None = None
+    ) -> abc.AsyncIterator[None]:
         """Limit a block to a deadline, and to the grace period if it begins.
 
+        Parameters
+        ----------
+        deadline : float
+        last : float or None
+            Time that takes the place of the deadline in the grace period.
+            Whoever is at work for a caller is then not cut short for the way
+            of a reply.
+
         Raises
         ------
         TimeoutError
         """
-        now = self.clock.monotonic()
-        limit_s = min(deadline, self.replies_until) - now
+        last = deadline if last is None else last
+        limit_s = self.limit(deadline, last) - self.clock.monotonic()
         async with asyncio.timeout(limit_s) as timeout:
-            self.timeouts.add(timeout)
+            self.timeouts[timeout] = last
             try:
                 yield
             finally:
-                self.timeouts.discard(timeout)
+                del self.timeouts[timeout]
 
 
 def _extra_s(grace_s: float, unsure_s: float) -> float:
--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -42,10 +42,14 @@
         Time at which targets stop to work on it.
     reply : float
         Time at which the node replies itself if no answer has come.
+    last : float
+        The same at a node that stops: its caller has left, or the limit of
+        the route is over. Until then a target at work is owed its answer.
     """
 
     target: float
     reply: float
+    last: float
 
 
 def of(
@@ -74,7 +78,9 @@
     target = min(reply - min(ANSWER_TRAVEL_S, most_s), started + limit_s)
     # A limit is over only when the loop has read what came before it.
     return Deadlines(
-        target, min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S)
+        target,
+        min(reply - limits.READ_TIME_S, target + LIMIT_SLACK_S),
+        min(leaves_at, started + limit_s + LIMIT_SLACK_S),
     )
 
 
--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -70,3 +70,16 @@
       | 45          | 8         |
       | 60          | 10        |
       | 80          | 10        |
+
+  # Guards against an own reply after SIGTERM while the caller still waits.
+  Scenario Outline: a <method> call of <deadline_ms> ms at a node that stops is not broken off before its deadline
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a caller sends a <method> call of <deadline_ms> ms, its target falls silent and its node gets SIGTERM
+    Then the node has not replied before <deadline_ms> ms
+
+    Examples:
+      | method | deadline_ms |
+      | POST   | 1000        |
+      | GET    | 1000        |
+      | POST   | 2000        |
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -46,6 +46,19 @@
       | before it     | 3.0        | 3.0     |
       | after it      | 3.0        | 3.0     |
 
+  # Guards against own replies while the caller waits and a target is at work.
+  Scenario Outline: a caller that would be replied to after <deadline_s> s and leaves after <last_s> s
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call that came <when> waits until <deadline_s> s after it, or <last_s> s at a node that stops
+    Then its caller is replied to <reply_s> s after SIGTERM
+
+    Examples:
+      | when      | deadline_s | last_s | reply_s |
+      | before it | 0.95       | 1.0    | 1.0     |
+      | after it  | 0.95       | 1.0    | 1.0     |
+      | before it | 5.25       | 5.32   | 5.3     |
+      | after it  | 5.25       | 5.32   | 5.3     |
+
   # Guards against early replies in place of answers of targets at work.
   Scenario Outline: a grace period of <grace_s> s
     Given a node that has received SIGTERM with a grace period of <grace_s> s
--- a/tests/routing/test_routing_deadlines.feature
+++ b/tests/routing/test_routing_deadlines.feature
@@ -4,16 +4,17 @@
     When the ends of a call are set for <caller_ms> ms and a route of <route_ms> ms
     Then targets have <target_ms> ms
     And the node replies itself from <reply_ms> ms on
+    And a node that stops replies itself from <last_ms> ms on
 
     Examples:
-      | caller_ms | route_ms | target_ms | reply_ms |
-      | 1000      | 2000     | 930       | 960      |
-      | 1000      | 1000     | 930       | 960      |
-      | 6000      | 3000     | 3000      | 3120     |
-      | 1000      | 900      | 900       | 960      |
-      | 500       | 2000     | 430       | 460      |
-      | 100       | 2000     | 40        | 60       |
-      | 50        | 2000     | 20        | 25       |
+      | caller_ms | route_ms | target_ms | reply_ms | last_ms |
+      | 1000      | 2000     | 930       | 960      | 1000    |
+      | 1000      | 1000     | 930       | 960      | 1000    |
+      | 6000      | 3000     | 3000      | 3120     | 3120    |
+      | 1000      | 900      | 900       | 960      | 1000    |
+      | 500       | 2000     | 430       | 460      | 500     |
+      | 100       | 2000     | 40        | 60       | 100     |
+      | 50        | 2000     | 20        | 25       | 50      |
 
   # Guards against callers that leave without a reply because their node ran late.
   Scenario Outline: a caller that leaves after <caller_ms> ms, at a node whose loop is usually <late_ms> ms late
--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -35,9 +35,13 @@
 
 
 def start_call(
-    context: typing.Any, method: str, deadline_ms: int, identity: str = CALL
+    context: typing.Any,
+    method: str,
+    deadline_ms: int,
+    identity: str = CALL,
+    patience_s: float = 0.0,
 ) -> asyncio.Task:
-    """Send a call whose caller leaves at its deadline."""
+    """Send a call whose caller leaves at its deadline, or some time later."""
     headers = {'x-work-s': str(WORK_S), 'x-deadline-ms': str(deadline_ms)}
     return asyncio.create_task(
         context.mesh.call(
@@ -45,7 +49,7 @@
             PATHS[method],
             identity,
             method,
-            deadline_ms / 1000,
+            deadline_ms / 1000 + patience_s,
             **headers,
         )
     )
@@ -282,6 +286,31 @@
     )
 
 
+@behave.when(
+    'a caller sends a {method:w} call of {deadline_ms:d} ms, its target falls '
+    'silent and its node gets SIGTERM'
+)
+def when_stopped(context: typing.Any, method: str, deadline_ms: int) -> None:
+    async def act() -> None:
+        began = time.monotonic()
+        call = start_call(context, method, deadline_ms, patience_s=LATE_S)
+        name = await held_up_steps.find_run(context, CALL)
+        target = context.mesh.vms[name].target
+        target.signal(signal.SIGSTOP)
+        context.mesh.vms[held_up_steps.NODE].node.signal(signal.SIGTERM)
+        context.answer = await call
+        context.took_ms = (time.monotonic() - began) * 1000
+        target.signal(signal.SIGCONT)
+
+    context.run(act())
+
+
+@behave.then('the node has not replied before {deadline_ms:d} ms')
+def then_not_before(context: typing.Any, deadline_ms: int) -> None:
+    seen = (context.took_ms, context.answer, node_lines(context))
+    assert context.took_ms >= deadline_ms, seen
+
+
 @behave.then('the caller has an answer')
 def then_answered(context: typing.Any) -> None:
     status, _, _ = context.answer
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -91,10 +91,12 @@
     assert context.outcome == outcome, context.outcome
 
 
-async def wait(context: typing.Any, deadline: float) -> float:
+async def wait(
+    context: typing.Any, deadline: float, last: float | None = None
+) -> float:
     """Wait longer than a deadline allows; return when the wait ended."""
     try:
-        async with context.grace.timeout(deadline):
+        async with context.grace.timeout(deadline, last):
             await asyncio.sleep(2 * (deadline - context.clock.monotonic()))
     except TimeoutError:
         pass
@@ -134,11 +136,31 @@
 
 @behave.when('a call that came {when} waits until {deadline_s:g} s after it')
 def when_waits(context: typing.Any, when: str, deadline_s: float) -> None:
+    wait_beside(context, when, deadline_s, deadline_s)
+
+
+@behave.when(
+    'a call that came {when} waits until {deadline_s:g} s after it, or '
+    '{last_s:g} s at a node that stops'
+)
+def when_waits_longer(
+    context: typing.Any, when: str, deadline_s: float, last_s: float
+) -> None:
+    wait_beside(context, when, deadline_s, last_s)
+
+
+def wait_beside(
+    context: typing.Any, when: str, deadline_s: float, last_s: float
+) -> None:
+    """Let a call wait that came before or after SIGTERM; note its end."""
+
     async def act() -> None:
         started = context.clock.monotonic()
         if when == 'after it':
             begin(context)
-        waiting = asyncio.create_task(wait(context, started + deadline_s))
+        waiting = asyncio.create_task(
+            wait(context, started + deadline_s, started + last_s)
+        )
         await asyncio.sleep(0)
         if when == 'before it':
             begin(context)
--- a/tests/steps/test_routing_deadlines.py
+++ b/tests/steps/test_routing_deadlines.py
@@ -37,3 +37,9 @@
 def then_reply(context: typing.Any, reply_ms: int) -> None:
     seconds = context.ends.reply - STARTED
     assert round(seconds * 1000) == reply_ms, context.ends
+
+
+@behave.then('a node that stops replies itself from {last_ms:d} ms on')
+def then_last(context: typing.Any, last_ms: int) -> None:
+    seconds = context.ends.last - STARTED
+    assert round(seconds * 1000) == last_ms, context.ends
