--- a/tests/routing/test_routing_startup.feature
+++ b/tests/routing/test_routing_startup.feature
@@ -76,3 +76,19 @@
     Given a node that starts and learns of a configuration after 5.0 s
     When 40 calls with a deadline of 2.0 s are read 0.1 s after the start, having waited for 1.2 s
     Then all are refused until at most a third of what is left to them
+
+  # Guards against work for a caller that leaves before its answer can come.
+  Scenario Outline: a call of 1.0 s that is read <waited> s after it came is <outcome>, run times being <known>
+    Given a node that starts and learns of a configuration after 0.0 s
+    And run times that are <known>
+    When a call with a deadline of 1.0 s is read <waited> s after it came
+    Then it is <outcome> after 0.0 s
+    And it has <reached> a target
+
+    Examples:
+      | known         | waited | outcome | reached     |
+      | not known     | 0.5    | sent    | reached     |
+      | not known     | 0.8    | sent    | reached     |
+      | not known     | 0.9    | refused | not reached |
+      | close to 0 s  | 0.9    | sent    | reached     |
+      | close to 0 s  | 0.99   | refused | not reached |
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self.known: list[members.Member] = []
         self.refusing: set[str] = set()
+        self.sent = 0
 
     def learn(self, node: str) -> None:
         """Make a target known."""
@@ -67,6 +68,7 @@
         on_silent: typing.Any = None,
     ) -> calls.Answer:
         """Answer a call at once, or refuse it."""
+        self.sent += 1
         if member.node in self.refusing:
             raise errors.CallRefusedError(errors.Reason.OVERLOADED)
         return calls.Answer(200, [], b'')
@@ -156,6 +158,21 @@
     context.remote.learn('near')
 
 
+@behave.given('run times that are {known}')
+def given_run_times(context: typing.Any, known: str) -> None:
+    if known == 'close to 0 s':
+        for _ in range(40):
+            status, _ = context.run(call(context, 0.01, 1.0))
+            assert status == 200, status
+    context.remote.sent = 0
+
+
+@behave.then('it has {reached} a target')
+def then_reached(context: typing.Any, reached: str) -> None:
+    sent = {'reached': 1, 'not reached': 0}[reached]
+    assert context.remote.sent == sent, context.remote.sent
+
+
 @behave.given('it knows an overloaded target from the start')
 def given_overloaded(context: typing.Any) -> None:
     context.remote.learn('full')
