Platform: headers of targets have a module of their own

The module of the callers' headers loaded the client and the probe of targets with it, before a node that starts read its first request.

--- a/tests/steps/test_platform_limits.py
+++ b/tests/steps/test_platform_limits.py
@@ -15,7 +15,7 @@
 from pomelobend import errors
 from pomelobend.mesh import store_probe as store_probes
 from pomelobend.mesh import watch as watches
-from pomelobend.platform import headers as wire
+from pomelobend.platform import dialect
 from pomelobend.platform import kinds
 from pomelobend.platform import objects
 from pomelobend.targets import probe as probes
@@ -106,7 +106,7 @@
 
 async def probe_target(context: typing.Any) -> bool:
     """Return whether a probe of a target is answered."""
-    probe = probes.Probe(context.clock, wire.HEALTH)
+    probe = probes.Probe(context.clock, dialect.HEALTH)
     result = await probe.check(context.address, '/health')
     return result.health is probes.Health.SERVING
 
--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -13,7 +13,7 @@
 
 from pomelobend import clock as clocks
 from pomelobend import errors
-from pomelobend.platform import headers as wire
+from pomelobend.platform import dialect
 from pomelobend.routing import call as call_module
 from pomelobend.targets import body_memory
 from pomelobend.targets import channel_pool as channel_pools
@@ -89,7 +89,7 @@
         clock,
         channel_pools.ChannelPool(clock),
         1.0,
-        wire.TargetDialect(),
+        dialect.TargetDialect(),
         buffers_bodies=True,
         memory=body_memory.BodyMemory(LIMIT_BYTES),
     )
