Sidecar: a start without threads loads the modules all the same

Where a process may not start a thread, the node would have ended at its start with RuntimeError. Red before: mesh/test_mesh_slow_start, "without a thread".

--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -139,8 +139,17 @@
 
 
 async def load(name: str) -> types.ModuleType:
-    """Return a module that a thread has loaded, which ends with that."""
+    """Return a module that a thread has loaded, which ends with that.
+
+    Without threads the module is loaded all the same, and callers wait.
+    """
+    loop = asyncio.get_running_loop()
     with futures.ThreadPoolExecutor(1) as executor:
-        return await asyncio.get_running_loop().run_in_executor(
-            executor, importlib.import_module, name
-        )
+        try:
+            loading = loop.run_in_executor(
+                executor, importlib.import_module, name
+            )
+        except RuntimeError as error:
+            logger.warning('node: no thread for the start', why=str(error))
+            return importlib.import_module(name)
+        return await loading
--- a/tests/mesh/test_mesh_slow_start.feature
+++ b/tests/mesh/test_mesh_slow_start.feature
@@ -21,3 +21,9 @@
     And routes whose calls may take 12 s
     When callers that leave after 6000 ms send 20 GET calls to a node that loads its modules in 1 s
     Then 19 of these calls have the answer of a target
+
+  # Guards against a node that does not start where threads are not allowed.
+  Scenario: the modules are loaded without a thread if there is none
+    Given a process that may not start a thread
+    When the modules of a node are loaded at its start
+    Then they are loaded
--- a/tests/steps/test_mesh_slow_start.py
+++ b/tests/steps/test_mesh_slow_start.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import typing
+from unittest import mock
 
 import behave
 
+from pomelobend.mesh import node as nodes
+from pomelobend.mesh import starting
 from standins import slow_modules
 from tests.steps import test_mesh_deadlines as deadline_steps
 from tests.steps import test_mesh_held_up as held_up_steps
@@ -93,3 +97,24 @@
         if 'x-response-signature' in headers
     ]
     assert len(served) >= count, context.answers
+
+
+@behave.given('a process that may not start a thread')
+def given_no_threads(context: typing.Any) -> None:
+    refusing = mock.patch.object(
+        threading.Thread,
+        'start',
+        autospec=True,
+        side_effect=RuntimeError('no thread'),
+    )
+    context.stack.enter_context(refusing)
+
+
+@behave.when('the modules of a node are loaded at its start')
+def when_loaded(context: typing.Any) -> None:
+    context.module = asyncio.run(starting.load(starting.NODE_MODULE))
+
+
+@behave.then('they are loaded')
+def then_loaded(context: typing.Any) -> None:
+    assert context.module is nodes
