--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -3,13 +3,12 @@
 Most of a start is spent on imports, which take seconds beside other work. A
 caller whose request nobody reads until then may have left, or has too little
 time for another attempt. So the program reads requests with the few modules
-that this takes, and loads the others in a thread beside the event loop.
+that this takes, and loads the others in steps between which it reads.
 """
 
 from __future__ import annotations
 
 import asyncio
-from concurrent import futures
 import importlib
 import random
 import typing
@@ -21,7 +20,6 @@
 from pomelobend import errors
 from pomelobend.http import message
 from pomelobend.http import server as servers
-from pomelobend import limits
 from pomelobend.platform import headers as wire
 from pomelobend.routing import deadlines
 from pomelobend.routing import retry_after
@@ -29,7 +27,6 @@
 if typing.TYPE_CHECKING:
     from collections import abc
     import socket
-    import types
 
     from pomelobend.platform import settings as platform_settings
 
@@ -37,7 +34,92 @@
 
 logger = structlog.get_logger('node')
 
-NODE_MODULE = 'pomelobend.mesh.node'
+MODULES = (
+    'pomelobend.admission.cold',
+    'pomelobend.admission.crashes',
+    'pomelobend.admission.outcome',
+    'pomelobend.admission.shares',
+    'pomelobend.admission.waiting',
+    'pomelobend.membership.member',
+    'pomelobend.membership.heartbeat',
+    'pomelobend.admission.gate',
+    'pomelobend.lateness',
+    'pomelobend.peers.messages',
+    'pomelobend.peers.codec',
+    'pomelobend.mesh.broadcasts',
+    'pomelobend.rollouts.rollout',
+    'pomelobend.routing.table',
+    'pomelobend.platform.decode',
+    'pomelobend.platform.paths',
+    'pomelobend.calls',
+    'pomelobend.targets.channel',
+    'pomelobend.targets.channel_pool',
+    'pomelobend.targets.probe',
+    'pomelobend.mesh.control',
+    'pomelobend.mesh.crash_reports',
+    'pomelobend.mesh.remote_view',
+    'pomelobend.mesh.suspects',
+    'pomelobend.mesh.directory',
+    'pomelobend.membership.relays',
+    'pomelobend.mesh.domain_links',
+    'pomelobend.mesh.domain_return',
+    'pomelobend.platform.json_text',
+    'pomelobend.targets.body_memory',
+    'pomelobend.platform.objects',
+    'pomelobend.mesh.listing',
+    'pomelobend.platform.kinds',
+    'pomelobend.mesh.feed',
+    'pomelobend.routing.call',
+    'pomelobend.routing.startup',
+    'pomelobend.mesh.front',
+    'pomelobend.mesh.grace',
+    'pomelobend.mesh.incoming',
+    'pomelobend.metrics.exposition',
+    'pomelobend.mesh.metrics',
+    'pomelobend.mesh.node_record',
+    'pomelobend.mesh.registry',
+    'pomelobend.mesh.relay_role',
+    'pomelobend.mesh.resumption',
+    'pomelobend.rollouts.evidence',
+    'pomelobend.mesh.tally_codec',
+    'pomelobend.rollouts.exposure',
+    'pomelobend.rollouts.load_test',
+    'pomelobend.rollouts.verdict',
+    'pomelobend.rollouts.plan',
+    'pomelobend.mesh.rollout_controller',
+    'picows',
+    'pomelobend.peers.link',
+    'pomelobend.mesh.shutdown',
+    'pomelobend.mesh.state',
+    'pomelobend.mesh.store_probe',
+    'pomelobend.peers.stream',
+    'pomelobend.peers.callee',
+    'pomelobend.routing.subset',
+    'pomelobend.mesh.target_selection',
+    'pomelobend.mesh.watch',
+    'pomelobend.peers.caller',
+    'pomelobend.peers.options',
+    'pomelobend.peers.connection',
+    'pomelobend.peers.pool',
+    'pomelobend.targets.client',
+    'pomelobend.platform.dialect',
+    'pomelobend.routing.budget',
+    'pomelobend.routing.retry',
+    'pomelobend.routing.sends',
+    'pomelobend.routing.delivery',
+    'pomelobend.routing.run_times',
+    'pomelobend.routing.target_stats',
+    'pomelobend.routing.placement',
+    'pomelobend.routing.quarantine',
+    'pomelobend.stalls',
+    'pomelobend.tasks',
+    'pomelobend.mesh.node',
+)
+"""Modules of a node, in an order in which each needs only those before it."""
+
+ROUNDS = 4
+"""Rounds of the event loop between two steps. A request is accepted, read and
+replied to in several."""
 
 WAIT_SHARE = 1 / 3
 """Longest wait for the end of the start, as a share of the time of a caller.
@@ -72,7 +154,7 @@
             ends.reply - self.clock.monotonic(),
         )
         try:
-            async with limits.Limit(wait_s):
+            async with asyncio.timeout(wait_s):
                 answer = await asyncio.shield(self.successor)
         except TimeoutError:
             return self._refuse(ends)
@@ -125,7 +207,8 @@
         listening_since=listening_since,
     )
     await server.listen()
-    nodes = await load(NODE_MODULE)
+    await load_modules()
+    nodes = importlib.import_module(MODULES[-1])
     node = nodes.Node.from_config(
         settings, clock, sockets, listening_since, server
     )
@@ -138,18 +221,9 @@
     await node.run()
 
 
-async def load(name: str) -> types.ModuleType:
-    """Return a module that a thread has loaded, which ends with that.
-
-    Without threads the module is loaded all the same, and callers wait.
-    """
-    loop = asyncio.get_running_loop()
-    with futures.ThreadPoolExecutor(1) as executor:
-        try:
-            loading = loop.run_in_executor(
-                executor, importlib.import_module, name
-            )
-        except RuntimeError as error:
-            logger.warning('node: no thread for the start', why=str(error))
-            return importlib.import_module(name)
-        return await loading
+async def load_modules() -> None:
+    """Load the modules of a node; read and reply between them."""
+    for name in MODULES:
+        importlib.import_module(name)
+        for _ in range(ROUNDS):
+            await asyncio.sleep(0)
