Deadlines: the node of a target does not end a call before its caller leaves

A stopping node whose own loop, or that of the target's node, was usually late still gave its own 504 early while the target was at work: both take their lateness off the end that the target is told, and the target's node gave up 0.1 s after that.

The target's node now waits 0.5 s past that end, and the caller's node 0.6: it alone knows when its caller leaves, and ends the call before.

--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -28,6 +28,14 @@
 """Largest share of the time of a caller, or of a call that another node has
 sent, that is kept back for the lateness of the event loop."""
 
+SERVED_MARGIN_S = 0.5
+"""Time past the end that a target was told in which its answer is waited for.
+The node of the caller ends the call before: it alone knows when its caller
+leaves. It covers what both nodes have taken off for their lateness."""
+
+SENT_MARGIN_S = 0.6
+"""The same at the node of the caller, for the answer of the other node."""
+
 LIMIT_SLACK_S = 0.12
 """Time past the limit of a route in which an answer is still accepted."""
 
@@ -43,7 +51,7 @@
     reply : float
         Time at which the node replies itself if no answer has come.
     last : float
-        The same at a node that stops: its caller has left, or the limit of
+        The same beside a planned stop: its caller has left, or the limit of
         the route is over. Until then a target at work is owed its answer.
     """
 
--- a/tests/routing/test_routing_deadlines.feature
+++ b/tests/routing/test_routing_deadlines.feature
@@ -40,3 +40,20 @@
     When the ends of a call are set for 6000 ms and a route of 3000 ms
     Then targets have 3000 ms
     And the node replies itself from 3120 ms on
+
+  # Guards against a node that ends a call before the caller of another leaves.
+  Scenario Outline: the nodes of a caller and of a target are usually <late_ms> and <other_ms> ms late
+    Given a node whose loop is usually <late_ms> ms late
+    When the ends of a call are set for <caller_ms> ms and a route of <route_ms> ms
+    Then a node that is usually <other_ms> ms late waits for its target beyond the last reply
+    And the node of the caller waits for that node for longer
+
+    Examples:
+      | caller_ms | route_ms | late_ms | other_ms |
+      | 1000      | 2000     | 0       | 0        |
+      | 1000      | 2000     | 50      | 50       |
+      | 1000      | 2000     | 200     | 200      |
+      | 3000      | 2000     | 0       | 200      |
+      | 3000      | 9000     | 200     | 200      |
+      | 1500      | 9000     | 200     | 0        |
+      | 2500      | 1000     | 100     | 100      |
--- a/tests/steps/test_routing_deadlines.py
+++ b/tests/steps/test_routing_deadlines.py
@@ -43,3 +43,20 @@
 def then_last(context: typing.Any, last_ms: int) -> None:
     seconds = context.ends.last - STARTED
     assert round(seconds * 1000) == last_ms, context.ends
+
+
+@behave.then(
+    'a node that is usually {other_ms:d} ms late waits for its target beyond '
+    'the last reply'
+)
+def then_waits(context: typing.Any, other_ms: int) -> None:
+    ends = context.ends
+    told = deadlines.of_served(STARTED, ends.target - STARTED, other_ms / 1000)
+    context.given_up_at = told + deadlines.SERVED_MARGIN_S
+    assert context.given_up_at > ends.last, (context.given_up_at, ends)
+
+
+@behave.then('the node of the caller waits for that node for longer')
+def then_waits_longer(context: typing.Any) -> None:
+    waits_until = context.ends.target + deadlines.SENT_MARGIN_S
+    assert waits_until > context.given_up_at, waits_until
