Grace: a node that was stopped and started does not reply early either

Planned work lasts for 1 s past the grace period of a SIGTERM, so also at the process that is started after it.

A node that finds its own record in the store had an earlier process. For the grace period and 1 s from its start it waits for targets at work until the caller leaves, as a node that stops does.

Red before: mesh/test_mesh_grace, an earlier process, 3 of 5 rows; mesh/test_mesh_deadlines, "was stopped and started".

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -43,6 +43,9 @@
 ANSWER_OWED_SHARE = 5 / 6
 """Share of the grace period in which a call at work is owed its answer."""
 
+AFTER_S = 1.0
+"""Time after a grace period that still counts as planned work."""
+
 LEAST_S = 0.2
 """Shortest time that a stop takes, however late SIGTERM was handled."""
 
@@ -57,22 +60,40 @@
 
     Parameters
     ----------
+    follows_until : float
+        Monotonic time until which the planned stop of an earlier process of
+        this node may last.
     accepts_until, listens_until, replies_until, closes_at : float
         Monotonic times at which calls are no longer accepted regardless of
         their deadlines, at which no more connections are accepted, at which
         callers that still wait get their replies, and at which connections
         are closed; infinite before SIGTERM.
-    timeouts : dict of asyncio.Timeout to float
-        The limits of the calls in flight, and the monotonic times that apply
-        in their place once the grace period has begun.
+    timeouts : dict of asyncio.Timeout to tuple of float
+        The calls in flight, and their limits otherwise and beside a planned
+        stop, as monotonic times.
     """
 
     clock: clocks.Clock
+    follows_until: float = -math.inf
     accepts_until: float = math.inf
     listens_until: float = math.inf
     replies_until: float = math.inf
     closes_at: float = math.inf
-    timeouts: dict[asyncio.Timeout, float] = attrs.field(factory=dict)
+    timeouts: dict[asyncio.Timeout, tuple[float, float]] = attrs.field(
+        factory=dict
+    )
+
+    def follow(self, started: float, grace_s: float) -> None:
+        """Note that an earlier process of this node may just have stopped.
+
+        Parameters
+        ----------
+        started : float
+            Monotonic time of the start of this one.
+        grace_s : float
+        """
+        self.follows_until = started + grace_s + AFTER_S
+        self._move_timeouts()
 
     def begin(
         self,
@@ -108,15 +129,14 @@
             signalled_at + ACCEPT_S, end - LAST_ACCEPT_S, self.replies_until
         )
         self.listens_until = min(now + ACCEPT_S, self.replies_until)
-        self._move_timeouts(now)
+        self._move_timeouts()
 
-    def _move_timeouts(self, now: float) -> None:
-        loop_now = asyncio.get_running_loop().time()
+    def _move_timeouts(self) -> None:
+        offset_s = asyncio.get_running_loop().time() - self.clock.monotonic()
         # asyncio refuses to move a timeout that was reached in this moment.
-        for timeout, last in self.timeouts.items():
+        for timeout, (deadline, last) in self.timeouts.items():
             if not timeout.expired():
-                end = min(last, self.replies_until)
-                timeout.reschedule(loop_now + end - now)
+                timeout.reschedule(self.limit(deadline, last) + offset_s)
 
     def check(self, deadline: float) -> None:
         """Refuse a new call that would outlast the grace period.
@@ -153,11 +173,13 @@
         Parameters
         ----------
         deadline, last : float
-            The limits before the grace period and in it.
+            The limits otherwise, and beside a planned stop.
         """
-        if math.isinf(self.replies_until):
-            return deadline
-        return min(last, self.replies_until)
+        if math.isfinite(self.replies_until):
+            return min(last, self.replies_until)
+        return (
+            last if self.clock.monotonic() < self.follows_until else deadline
+        )
 
     async def wait(
         self,
@@ -190,7 +212,7 @@
         ----------
         deadline : float
         last : float or None
-            Time that takes the place of the deadline in the grace period.
+            Time that takes the place of the deadline beside a planned stop.
             Whoever is at work for a caller is then not cut short for the way
             of a reply.
 
@@ -201,7 +223,7 @@
         last = deadline if last is None else last
         limit_s = self.limit(deadline, last) - self.clock.monotonic()
         async with asyncio.timeout(limit_s) as timeout:
-            self.timeouts[timeout] = last
+            self.timeouts[timeout] = (deadline, last)
             try:
                 yield
             finally:
--- a/tests/mesh/test_mesh_deadlines.feature
+++ b/tests/mesh/test_mesh_deadlines.feature
@@ -83,3 +83,15 @@
       | POST   | 1000        |
       | GET    | 1000        |
       | POST   | 2000        |
+
+  # Guards against an own reply within the planned stop of the process before.
+  Scenario Outline: a <method> call of <deadline_ms> ms at a node that was stopped and started is not broken off before its deadline
+    Given a mesh with two targets of a service in each of two domains
+    And routes whose calls may take 12 s
+    When a node is stopped and started, a caller sends a <method> call of <deadline_ms> ms and its target falls silent
+    Then the node has not replied before <deadline_ms> ms
+
+    Examples:
+      | method | deadline_ms |
+      | POST   | 1000        |
+      | GET    | 2000        |
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -59,6 +59,20 @@
       | before it | 5.25       | 5.32   | 5.3     |
       | after it  | 5.25       | 5.32   | 5.3     |
 
+  # Guards against own replies in the planned stop of the process before.
+  Scenario Outline: a call that comes <came_s> s after the start of a node that had <what>
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When a call that comes <came_s> s after a start waits until 0.95 s after it, or 1.0 s beside a planned stop, at a node that had <what>
+    Then its caller is replied to <reply_s> s after it came
+
+    Examples:
+      | came_s | what                                       | reply_s |
+      | 0.1    | no earlier process                         | 0.95    |
+      | 0.1    | an earlier process, as it learns at 0.05 s | 1.0     |
+      | 0.1    | an earlier process, as it learns at 0.5 s  | 1.0     |
+      | 6.9    | an earlier process, as it learns at 0.05 s | 1.0     |
+      | 7.1    | an earlier process, as it learns at 0.05 s | 0.95    |
+
   # Guards against early replies in place of answers of targets at work.
   Scenario Outline: a grace period of <grace_s> s
     Given a node that has received SIGTERM with a grace period of <grace_s> s
--- a/tests/steps/test_mesh_deadlines.py
+++ b/tests/steps/test_mesh_deadlines.py
@@ -291,20 +291,48 @@
     'silent and its node gets SIGTERM'
 )
 def when_stopped(context: typing.Any, method: str, deadline_ms: int) -> None:
-    async def act() -> None:
-        began = time.monotonic()
-        call = start_call(context, method, deadline_ms, patience_s=LATE_S)
-        name = await held_up_steps.find_run(context, CALL)
-        target = context.mesh.vms[name].target
-        target.signal(signal.SIGSTOP)
+    def stop() -> None:
         context.mesh.vms[held_up_steps.NODE].node.signal(signal.SIGTERM)
-        context.answer = await call
-        context.took_ms = (time.monotonic() - began) * 1000
-        target.signal(signal.SIGCONT)
+
+    context.run(_call_silent(context, method, deadline_ms, stop))
+
+
+@behave.when(
+    'a node is stopped and started, a caller sends a {method:w} call of '
+    '{deadline_ms:d} ms and its target falls silent'
+)
+def when_restarted(context: typing.Any, method: str, deadline_ms: int) -> None:
+    async def act() -> None:
+        await restart(context)
+        await context.mesh.wait_until_serving(
+            [held_up_steps.NODE], PATHS['GET'], STOP_S
+        )
+        await _call_silent(context, method, deadline_ms, lambda: None)
 
     context.run(act())
 
 
+async def _call_silent(
+    context: typing.Any,
+    method: str,
+    deadline_ms: int,
+    act: typing.Callable[[], None],
+) -> None:
+    """Send a call whose target falls silent, and do something then.
+
+    The caller waits past its deadline, to see when it is replied to.
+    """
+    began = time.monotonic()
+    call = start_call(context, method, deadline_ms, patience_s=LATE_S)
+    name = await held_up_steps.find_run(context, CALL)
+    target = context.mesh.vms[name].target
+    target.signal(signal.SIGSTOP)
+    act()
+    context.answer = await call
+    context.took_ms = (time.monotonic() - began) * 1000
+    target.signal(signal.SIGCONT)
+
+
 @behave.then('the node has not replied before {deadline_ms:d} ms')
 def then_not_before(context: typing.Any, deadline_ms: int) -> None:
     seen = (context.took_ms, context.answer, node_lines(context))
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -170,6 +170,39 @@
     context.run(act())
 
 
+@behave.when(
+    'a call that comes {came_s:g} s after a start waits until {deadline_s:g} '
+    's after it, or {last_s:g} s beside a planned stop, at a node that had '
+    '{what}'
+)
+def when_started(
+    context: typing.Any,
+    came_s: float,
+    deadline_s: float,
+    last_s: float,
+    what: str,
+) -> None:
+    async def act() -> None:
+        started = context.clock.monotonic()
+        if what != 'no earlier process':
+            learns_s = float(what.split()[-2])
+            context.loop.call_later(
+                learns_s, context.grace.follow, started, context.grace_s
+            )
+        await asyncio.sleep(came_s)
+        came = context.clock.monotonic()
+        context.replied_s = (
+            await wait(context, came + deadline_s, came + last_s) - came
+        )
+
+    context.run(act())
+
+
+@behave.then('its caller is replied to {reply_s:g} s after it came')
+def then_replied_after(context: typing.Any, reply_s: float) -> None:
+    then_replied(context, reply_s)
+
+
 @behave.then('its caller is replied to {reply_s:g} s after SIGTERM')
 def then_replied(context: typing.Any, reply_s: float) -> None:
     assert abs(context.replied_s - reply_s) <= TIMER_SLACK_S, context.replied_s
