--- a/tests/routing/test_routing_startup.feature
+++ b/tests/routing/test_routing_startup.feature
@@ -94,3 +94,25 @@
       | 2 s           | 0.9    | refused | not reached |
       | close to 0 s  | 0.9    | sent    | reached     |
       | close to 0 s  | 0.99   | refused | not reached |
+
+  # Guards against a refusal of calls that the chosen target can still serve.
+  Scenario Outline: a call with 0.16 s left is <outcome> if its target takes <share> of the usual 0.16 s
+    Given a node that starts and learns of a configuration after 0.0 s
+    And run times that are 0.16 s
+    And one target, which takes <share> of them
+    When a call with a deadline of 1.0 s is read 0.84 s after it came
+    Then it is <outcome> after 0.0 s
+
+    Examples:
+      | share | outcome |
+      | 1.0   | refused |
+      | 0.25  | sent    |
+
+  # Guards against a call that is sent on when its time has passed elsewhere.
+  Scenario: a call that a node refused late is not sent to another one
+    Given a node that starts and learns of a configuration after 0.0 s
+    And it knows an overloaded target from the start
+    And targets that refuse calls after 0.9 s
+    When a call with a deadline of 1.0 s arrives 0.1 s after the start
+    Then it is refused after 0.9 s
+    And it has reached a target
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -38,6 +38,7 @@
         self.known: list[members.Member] = []
         self.refusing: set[str] = set()
         self.sent = 0
+        self.refuses_after_s = 0.0
 
     def learn(self, node: str) -> None:
         """Make a target known."""
@@ -68,9 +69,10 @@
         stats: typing.Any,
         on_silent: typing.Any = None,
     ) -> calls.Answer:
-        """Answer a call at once, or refuse it."""
+        """Answer a call at once, or refuse it, maybe later."""
         self.sent += 1
         if member.node in self.refusing:
+            await asyncio.sleep(self.refuses_after_s)
             raise errors.CallRefusedError(errors.Reason.OVERLOADED)
         return calls.Answer(200, [], b'')
 
@@ -162,11 +164,31 @@
 @behave.given('run times that are {known}')
 def given_run_times(context: typing.Any, known: str) -> None:
     run_times = context.front.delivery.placer.route_times
-    seconds = {'not known': [], 'close to 0 s': [1e-4], '2 s': [2.0]}[known]
+    seconds = {
+        'not known': [],
+        'close to 0 s': [1e-4],
+        '2 s': [2.0],
+        '0.16 s': [0.16],
+    }[known]
     for run_s in 40 * seconds:
         run_times.note('lookup', math.log(run_s))
 
 
+@behave.given('one target, which takes {share:g} of them')
+def given_speed(context: typing.Any, share: float) -> None:
+    placer = context.front.delivery.placer
+    (member,) = context.remote.known
+    stats = placer.stats(member)
+    for _ in range(40):
+        stats.note_answer(math.log(share))
+
+
+@behave.given('targets that refuse calls after {seconds:g} s')
+def given_refusing(context: typing.Any, seconds: float) -> None:
+    context.remote.refusing.update(m.node for m in context.remote.known)
+    context.remote.refuses_after_s = seconds
+
+
 @behave.then('it has {reached} a target')
 def then_reached(context: typing.Any, reached: str) -> None:
     sent = {'reached': 1, 'not reached': 0}[reached]
