--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -73,6 +73,19 @@
       | 6.9    | an earlier process, as it learns at 0.05 s | 1.0     |
       | 7.1    | an earlier process, as it learns at 0.05 s | 0.95    |
 
+  # Guards against a restarted node that does not notice, as its target was faster.
+  Scenario Outline: the record of an earlier process is found <when>
+    When a node that starts finds <what> in the store <when>
+    Then it <notes> an earlier process
+
+    Examples:
+      | what         | when                             | notes         |
+      | its record   | before its target has registered | notes         |
+      | its record   | after its target has registered  | notes         |
+      | its record   | as it writes its own             | notes         |
+      | other nodes  | after its target has registered  | does not note |
+      | what it wrote itself | after its target has registered | does not note |
+
   # Guards against early replies in place of answers of targets at work.
   Scenario Outline: a grace period of <grace_s> s
     Given a node that has received SIGTERM with a grace period of <grace_s> s
--- a/tests/steps/test_mesh_grace.py
+++ b/tests/steps/test_mesh_grace.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import socket
 import time
+import types
 import typing
 
 import async_solipsism
@@ -14,7 +16,11 @@
 from benchmarks.model import clock as model_clock
 from pomelobend import clock as clocks
 from pomelobend import errors
+from pomelobend.membership import member as members
 from pomelobend.mesh import grace as graces
+from pomelobend.mesh import node_record as node_records
+from pomelobend.mesh import registry as registries
+from pomelobend.platform import objects
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -296,3 +302,51 @@
 @behave.then('the call has its answer')
 def then_has_answer(context: typing.Any) -> None:
     assert context.answer == ANSWER
+
+
+class Store:
+    """A store that holds a record of a node, or takes what it writes."""
+
+    def __init__(self, is_taken: bool) -> None:
+        self.is_taken = is_taken
+
+    async def write(
+        self, kind: str, name: str, spec: dict, revision: int | None
+    ) -> objects.StoredObject:
+        """Write a record unless there is one."""
+        if self.is_taken and revision is None:
+            raise errors.PlatformConflictError('exists', 7)
+        return objects.StoredObject(name, 8, spec, {})
+
+
+@behave.when('a node that starts finds {what} in the store {when}')
+def when_found(context: typing.Any, what: str, when: str) -> None:
+    own = members.Member('vik-1', 1, 0, 'vik', '127.0.0.1:1')
+    directory = types.SimpleNamespace(
+        own=own, known={}, live={}, learn=lambda *_: None
+    )
+    registry = registries.Registry(
+        Store(when == 'as it writes its own'), directory, clocks.SystemClock()
+    )
+    context.noted = []
+    registry.on_predecessor.append(lambda: context.noted.append(True))
+    spec = node_records.NodeRecord.of(own).to_spec()
+
+    async def act() -> None:
+        registry.has_listed = True
+        if when != 'before its target has registered':
+            registry.request_write()
+        if when == 'as it writes its own' or what == 'what it wrote itself':
+            with contextlib.suppress(errors.PlatformConflictError):
+                await registry._write()
+        name = 'vik-2' if what == 'other nodes' else own.node
+        stored = objects.StoredObject(name, 8, spec, {})
+        registry.apply({name: stored})
+
+    asyncio.run(act())
+
+
+@behave.then('it {notes} an earlier process')
+def then_notes(context: typing.Any, notes: str) -> None:
+    expected = {'notes': 1, 'does not note': 0}[notes]
+    assert len(context.noted) == expected, context.noted
