--- a/pomelobend/mesh/incoming.py
+++ b/pomelobend/mesh/incoming.py
@@ -89,4 +89,4 @@
             case messages.Evidence():
                 self.rollouts.handle_evidence(origin, message)
             case messages.Crashed():
-                self.crash_reports.note(message.calls)
+                self.crash_reports.note(origin, message.calls)
