--- /dev/null
+++ b/tests/admission/test_admission_cold.feature
@@ -0,0 +1,27 @@
+Feature: a cold target gets no more calls in any second than its limit
+
+  # Counted are the calls that arrive, not those that the gate admits.
+
+  Scenario: calls that wait for connections arrive together
+    Given a cold target to which connections take 1.2 s from 0.0 s to 1.0 s
+    When calls arrive for it at 100 per second for 3 s
+    Then in no second did more than 14 calls arrive at it
+    And in a second between them at least 12 calls arrived
+
+  Scenario: a target turns cold while calls wait for connections
+    Given a target to which connections take 0.5 s
+    When 20 calls wait for connections and the target turns cold
+    Then 14 calls arrive and 6 are refused as not run
+
+  Scenario: without waits a cold target gets as many calls as before
+    Given a cold target to which connections take 0.0 s
+    When calls arrive for it at 100 per second for 2 s
+    Then 24 calls arrived within 2 s
+
+  Scenario: steady waits take no capacity from a cold target
+    Given a cold target to which connections take 0.3 s
+    When calls arrive for it at 100 per second for 2.3 s
+    Then 24 calls arrived within 2.3 s
+
+  Scenario: the limit holds under any course of events
+    Then no course of calls, connections, heartbeats, configurations and restarts breaks the limit
