--- a/tests/steps/test_routing_held_calls.py
+++ b/tests/steps/test_routing_held_calls.py
@@ -62,7 +62,11 @@
     def close(self) -> None:
         """Close all connections."""
 
-    async def call(self, call: call_module.Call) -> calls.Answer:
+    async def call(
+        self,
+        call: call_module.Call,
+        on_send: typing.Callable[[], None] | None = None,
+    ) -> calls.Answer:
         """Answer a call of the node, or crash."""
         if self.crashed_at is not None:
             raise errors.CallRefusedError(errors.Reason.TARGET_UNREACHABLE)
