Soak: only a limit that is reached excuses an answer of a node's own

The soak counted a limit as reached from 0.15 s before it on, so it did not show a node that answers 502 or 504 itself shortly before a deadline after SIGTERM, though the rule on lost requests excuses only a limit that was reached. Closes in that time were not shown either.

A limit is now reached 1 ms before it at the earliest: deadlines are told in whole ms, and a request may be read before its caller notes the time of its sending. Replies told as "at a deadline" keep their 0.15 s, under a name of its own. A 504 in that time at a node that does not stop is only counted, as no rule is on it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,8 +27,12 @@
 STABLE_S = 3.0
 """Time for which a disturbance counts."""
 
-ALLOWANCE_S = 0.15
-"""Time before a limit from which on it counts as reached."""
+RESOLUTION_S = 0.001
+"""Deadlines are told in whole ms, and a request may be read just before its
+caller notes when it was sent. Nothing else makes a limit count as reached."""
+
+NEAR_LIMIT_S = 0.15
+"""Time before a limit in which replies are told as replies at a deadline."""
 
 AT_NODES = frozenset({'pause', 'held-up', 'reset', 'cut', 'kill'})
 AT_TARGETS = frozenset({'crash', 'odd', 'swap'})
@@ -56,6 +60,7 @@
 READY = 'own 502/504 after SIGTERM, target had finished'
 ELSEWHERE = 'own 502/504 after a run'
 LIMIT = 'limit reached'
+NEAR_LIMIT = 'own 504 shortly before a limit, no stop'
 IN_TOUCH = 'closed after its run, node in touch and target sound'
 OTHERS = 'answer of another request'
 TWICE = 'ran twice'
@@ -64,7 +69,7 @@
 GONE = 'ran after its client had left'
 
 GRAVE = (CLOSED_RUN, CLOSED_LATE, CUT, READY, TWICE, REFUSED_RUN, OTHERS)
-USUAL = frozenset({EXCUSED, LIMIT, TURNED_AWAY, UNSURE})
+USUAL = frozenset({EXCUSED, LIMIT, NEAR_LIMIT, TURNED_AWAY, UNSURE})
 """Classes whose findings are only counted."""
 
 
@@ -157,7 +162,7 @@
     found = [
         request
         for request in requests
-        if request.status == 504 and left_s(request) < ALLOWANCE_S
+        if request.status == 504 and left_s(request) < NEAR_LIMIT_S
     ]
     return sorted(found, key=left_s)
 
@@ -216,11 +221,14 @@
         return GONE
     if request.has_left or request.error == clients.UNREAD:
         return ''
-    limit_s = min(request.deadline_s, request.route_limit_s)
     if request.error == 'no answer':
         return UNSURE if _is_unsure(world, request) else NO_ANSWER
-    if request.ended_at - request.sent_at >= limit_s - ALLOWANCE_S:
+    limit_left_s = _limit_left_s(request)
+    if limit_left_s <= RESOLUTION_S:
         return LIMIT
+    is_near = request.status == 504 and limit_left_s < NEAR_LIMIT_S
+    if is_near and not _stop_at(world, request):
+        return NEAR_LIMIT
     if request.status in FAILURES + REFUSALS and runs:
         return _classify_failure(world, request, runs)
     if request.status in REFUSALS:
@@ -236,6 +244,12 @@
     return TURNED_AWAY if request.is_nested else ''
 
 
+def _limit_left_s(request: clients.Request) -> float:
+    """Return how long before its deadline or limit a request ended, in s."""
+    limit_s = min(request.deadline_s, request.route_limit_s)
+    return request.sent_at + limit_s - request.ended_at
+
+
 def _is_unsure(world: worlds.World, request: clients.Request) -> bool:
     """Return whether the soak may itself have missed an answer in time.
 
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -17,6 +17,25 @@
       | short-of-time | GET | 502 | 1        |
       | short-of-time | POST | 504 | 1       |
 
+  Scenario Outline: only a limit that is reached excuses own answers of a stop
+    Given a soak in which <trouble> was done to caller-vm beside requests
+    When a request with <limit> of <allowed> s ends <how> after <end> s
+    Then the soak finds <problems> problems
+
+    Examples:
+      | trouble | limit      | allowed | how         | end    | problems |
+      | term    | a deadline | 1.0     | with a 504  | 0.95   | 1        |
+      | term    | a deadline | 1.0     | with a 502  | 0.95   | 1        |
+      | term    | a deadline | 1.0     | with a 503  | 0.99   | 1        |
+      | term    | a deadline | 1.0     | with a 504  | 0.998  | 1        |
+      | term    | a deadline | 1.0     | with a 504  | 0.9995 | 0        |
+      | term    | a deadline | 1.0     | with a 504  | 1.0    | 0        |
+      | term    | a limit    | 1.0     | with a 504  | 0.95   | 1        |
+      | term    | a limit    | 1.0     | with a 504  | 1.01   | 0        |
+      | term    | a deadline | 1.0     | unanswered  | 0.95   | 1        |
+      | hup     | a deadline | 1.0     | unanswered  | 0.95   | 1        |
+      | hup     | a deadline | 1.0     | with a 504  | 0.95   | 0        |
+
   Scenario Outline: a caller that gets no answer by its deadline
     Given a soak in which <trouble> was done to <vm> beside requests
     When a caller leaves the node of caller-vm at its deadline
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -389,6 +389,23 @@
     context.findings = checks.judge(context.world, [request])
 
 
+@behave.when(
+    'a request with {limit} of {limit_s:g} s ends {how} after {end_s:g} s'
+)
+def when_ended_near_limit(
+    context: typing.Any, limit: str, limit_s: float, how: str, end_s: float
+) -> None:
+    request = _request()
+    if limit == 'a deadline':
+        request.deadline_s = limit_s
+    else:
+        request.route_limit_s = limit_s
+    request.sent_at = request.last_byte_at = BEGAN
+    request.ended_at = BEGAN + end_s
+    request.status = 0 if how == 'unanswered' else int(how.split()[-1])
+    context.findings = _findings(context, [request])
+
+
 @behave.given(
     'a caller of two VMs, of which one {state}, that {verb:w} at {share:g}'
 )
