Soak: all nodes stopped in turn, and what callers got from their starts

The mixes turn-short and turn-longer stop all nodes in turn, a second apart and up to four at a time, and start each again at once. Callers go on using open connections and call nodes that start. Each service keeps one node that is left alone; services of two VMs take part too (the other mixes never stop those of 12 nodes or more).

The mixes stray-... are named starting-... now.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -57,7 +57,7 @@
     stay_share : float
         Share of the requests that go to nodes that stop, on connections that
         are open; with it nodes that are not ready are not left.
-    stray_share : float
+    start_share : float
         Share of the requests that go to nodes that start, or to any node if
         none does, on new connections too.
     prefix : str
@@ -71,7 +71,7 @@
     kept: dict[str, list[Connection]]
     leave_share: float = 0.0
     stay_share: float = 0.0
-    stray_share: float = 0.0
+    start_share: float = 0.0
     prefix: str = ''
     requests: list[clients.Request] = attrs.field(factory=list)
 
@@ -87,7 +87,7 @@
     def choose(self) -> str:
         """Return the VM to whose node a request goes."""
         names = self.world.all_of(self.domain)
-        if self.stray_share and self.rng.random() < self.stray_share:
+        if self.start_share and self.rng.random() < self.start_share:
             starting = [name for name in names if name in self.world.starting]
             return self.rng.choice(starting or names)
         if self.stay_share:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,9 @@
 NEAR_S = 0.1
 """Time around a moment in which a held-up soak makes it uncertain."""
 
+NEAR_START_S = 2.0
+"""Time after the start of a node in which what callers got is told."""
+
 GRACE_S = 6.0
 LATE_SENT_S = 3.0
 GONE_S = 0.5
@@ -153,6 +156,41 @@
     ]
 
 
+def sent_at_start(
+    world: worlds.World, requests: typing.Iterable[clients.Request]
+) -> dict[str, list[float]]:
+    """Return what callers got from nodes soon after their start.
+
+    They are the times until the ends of the requests by what came.
+    """
+    found: dict[str, list[float]] = collections.defaultdict(list)
+    for request in requests:
+        sent_at, vm = request.sent_at, request.vm
+        if any(
+            vm == name and 0 <= sent_at - began < NEAR_START_S
+            for name, began in world.starts
+        ):
+            found[_outcome(request)].append(request.ended_at - sent_at)
+    return found
+
+
+def _outcome(request: clients.Request) -> str:
+    """Return what a caller got."""
+    if request.is_signed:
+        return 'answer of a target'
+    if request.status in FAILURES:
+        return 'own 502/504'
+    if request.status:
+        return f'own {request.status}'
+    if request.has_left:
+        return 'left early'
+    if request.error == 'no answer':
+        return 'nothing'
+    if request.error == 'not connected: ConnectionRefusedError':
+        return 'connection refused'
+    return request.error
+
+
 def left_s(request: clients.Request) -> float:
     """Return how long before its deadline a request ended, in s."""
     return request.sent_at + request.deadline_s - request.ended_at
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -26,6 +26,11 @@
 APPLIED_S = 2.0
 """Time after which a configuration is in force everywhere."""
 
+AT_ONCE = 4
+GAP_S = 1.0
+"""How many nodes are stopped at a time if all are in turn, and the time from
+one to the next."""
+
 LOOPS = 6
 LOOP = 'import time\nend = time.time() + {}\nwhile time.time() < end: pass'
 
@@ -40,8 +45,10 @@
         world.held.discard(name)
 
 
-async def stop_and_start(world: worlds.World, name: str) -> None:
-    """Stop a node as the platform does, and start it again."""
+async def stop_and_start(
+    world: worlds.World, name: str, pause_s: float = 0.5
+) -> None:
+    """Stop a node as the platform does, and start it after up to a pause."""
     began, node = time.time(), world.vms[name].node
     node.signal(signal.SIGTERM)
     world.starting.discard(name)
@@ -54,7 +61,7 @@
     world.stopping.discard(name)
     world.exits.append((name, code))
     world.note('term', name, began, f'exit {code}')
-    await world.sleep(0, 0.5)
+    await world.sleep(0, pause_s)
     world.start_node(name)
 
 
@@ -87,6 +94,28 @@
             await wait_ready(world, name)
 
 
+async def stop_in_turn(world: worlds.World) -> None:
+    """Stop all nodes in turn, and start each again at once."""
+    places = asyncio.Semaphore(AT_ONCE)
+    async with asyncio.TaskGroup() as stops:
+        for name in world.vms:
+            await places.acquire()
+            while name in world.held or not world.may_take(name, 1):
+                await asyncio.sleep(0.1)
+            world.held.add(name)
+            stops.create_task(_take_turn(world, name, places))
+            await asyncio.sleep(GAP_S)
+
+
+async def _take_turn(
+    world: worlds.World, name: str, places: asyncio.Semaphore
+) -> None:
+    await stop_and_start(world, name, 0.0)
+    await wait_ready(world, name)
+    world.held.discard(name)
+    places.release()
+
+
 async def stop_early(world: worlds.World) -> None:
     """Stop a node, and once more while it starts or soon after."""
     with hold(world) as name:
--- a/soak/report.py
+++ b/soak/report.py
@@ -6,6 +6,7 @@
 import datetime
 import json
 import os
+import statistics
 import typing
 
 from soak import checks
@@ -63,6 +64,7 @@
             f'sent during {kind}: {_summary(world, requests, kind)}'
             for kind in ('term', 'start')
         ),
+        *_starts(world, requests),
         *_reply_times(world, requests),
         *_closes(world, requests),
         *_silences(world, findings),
@@ -88,6 +90,20 @@
     return f'{len(found)}, {dict(ends)}, longest {longest_s:.2f} s'
 
 
+def _starts(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield what callers got from nodes soon after their start, in s."""
+    found = checks.sent_at_start(world, requests)
+    count = sum(map(len, found.values()))
+    yield f'sent within {checks.NEAR_START_S:g} s of a start: {count}'
+    for outcome, times in sorted(found.items()):
+        yield (
+            f'{len(times):5d} {outcome}, after {statistics.median(times):.3f} '
+            f's in the middle, {max(times):.3f} s at most'
+        )
+
+
 def _reply_times(
     world: worlds.World, requests: list[clients.Request]
 ) -> typing.Iterator[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,7 +35,7 @@
         Share of the requests of ``callers`` that they give up early.
     stay_share : float
         Share of their requests that go on to nodes that stop.
-    stray_share : float
+    start_share : float
         Share of their requests that go to nodes that start.
     """
 
@@ -44,7 +44,7 @@
     deployment: deployments.Deployment = deployments.TWO_SERVICES
     leave_share: float = 0.0
     stay_share: float = 0.0
-    stray_share: float = 0.0
+    start_share: float = 0.0
 
     @property
     def has_proxies(self) -> bool:
@@ -130,18 +130,18 @@
 """Up to four stops at a time."""
 
 STAY_SHARE = 0.7
-STRAY_SHARE = 0.15
+START_SHARE = 0.15
 
 
 def _open(
-    deployment: deployments.Deployment, *series: Act, stray_share: float = 0.0
+    deployment: deployments.Deployment, *series: Act, start_share: float = 0.0
 ) -> Mix:
     """Return stops whose callers go on using open connections, and more."""
     return Mix(
         (*OPEN_SERIES, *series),
         deployment=deployment,
         stay_share=STAY_SHARE,
-        stray_share=stray_share,
+        start_share=start_share,
     )
 
 
@@ -149,13 +149,26 @@
     'short': deployments.SHORT_DEADLINES_OPEN,
     'longer': deployments.LONGER_DEADLINES_OPEN,
 }
+
+
+def _in_turn(deployment: deployments.Deployment) -> Mix:
+    """Return stops of all nodes in turn, whose starts meet requests."""
+    return Mix(
+        (acts.stop_in_turn, acts.hup, acts.configure, acts.limit),
+        deployment=deployment,
+        stay_share=STAY_SHARE,
+        start_share=START_SHARE,
+    )
+
+
 OPEN_MIXES = {
     f'{kind}-{name}': mix
     for name, deployment in OPEN_DEPLOYMENTS.items()
     for kind, mix in (
         ('open', _open(deployment)),
         ('slow', _open(deployment, troubles.slow, troubles.slow)),
-        ('stray', _open(deployment, stray_share=STRAY_SHARE)),
+        ('starting', _open(deployment, start_share=START_SHARE)),
+        ('turn', _in_turn(deployment)),
     )
 }
 MIXES = (
@@ -351,7 +364,7 @@
             kept,
             mix.leave_share,
             mix.stay_share,
-            mix.stray_share,
+            mix.start_share,
             f'{name}-c',
         )
         for name, vm in world.vms.items()
--- a/soak/world.py
+++ b/soak/world.py
@@ -52,6 +52,8 @@
         Unix times between which the soak itself was held up.
     crowds : list of Request
         Requests that were sent as part of a disturbance.
+    starts : list of tuple
+        Name of the VM and Unix time of each start of a node.
     reports : list of tuple
         Name of the VM and last report of each target that has ended.
     """
@@ -70,6 +72,7 @@
     stopping: set[str] = attrs.field(factory=set)
     starting: set[str] = attrs.field(factory=set)
     events: list[Event] = attrs.field(factory=list)
+    starts: list[tuple[str, float]] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     reports: list[tuple[str, dict]] = attrs.field(factory=list)
     side_address: str = ''
@@ -106,6 +109,7 @@
         if number % 3 == 0:
             self.vms[name].store_address = self.side_address
         self.starting.add(name)
+        self.starts.append((name, time.time()))
         super().start_node(name, **environment)
 
     def start_target(self, name: str) -> None:
@@ -171,12 +175,15 @@
             for first, last in self.lags
         )
 
-    def may_take(self, name: str) -> bool:
-        """Return whether its service has another VM that is left alone."""
+    def may_take(self, name: str, least: int = 0) -> bool:
+        """Return whether its service has another VM that is left alone.
+
+        ``least`` replaces the usual number of VMs that are left alone.
+        """
         service = self.vms[name].service
         free = {n for n, vm in self.vms.items() if vm.service == service}
         free -= self.held | self.replaced | {name}
-        return len(free) >= max(1, len(self.vms) // 6)
+        return len(free) >= (least or max(1, len(self.vms) // 6))
 
     def pick(self) -> str:
         """Hold and return a VM, or '' if its service would have no other."""
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -204,7 +204,7 @@
       | is not ready | 0     | both | 0   | 0    |
 
   Scenario Outline: clients that go to nodes that start
-    Given a caller of two VMs, of which one <state>, that strays at 0.2
+    Given a caller of two VMs, of which one <state>, that tries at 0.2
     When it chooses 1000 times, with open connections to none
     Then <low> to <high> choices are the one that <state>
 
@@ -307,3 +307,38 @@
       | 16    | 3       | short   |
       | 100   | 1       | short   |
       | 16    | 10      | planned |
+
+  Scenario Outline: what callers got from nodes soon after their start
+    Given a soak that started the node of <vm> <offset> s before a request
+    When the request ends with <end>
+    Then the soak tells that callers got <outcome> there
+
+    Examples:
+      | vm        | offset | end                                  | outcome |
+      | caller-vm | 1.9    | a signed 200                         | answer of a target |
+      | caller-vm | 1.9    | a signed 504                         | answer of a target |
+      | caller-vm | 0.1    | a 503                                | own 503            |
+      | caller-vm | 0.1    | a 504                                | own 502/504        |
+      | caller-vm | 0.1    | no answer                            | nothing            |
+      | caller-vm | 0.1    | not connected: ConnectionRefusedError | connection refused |
+      | caller-vm | 2.1    | a 503                                | no outcome         |
+      | caller-vm | -0.1   | a 503                                | no outcome         |
+      | other-vm  | 0.1    | a 503                                | no outcome         |
+
+  Scenario Outline: all nodes are stopped in turn
+    Given a soak of <count> nodes that take <seconds> s for a stop and start
+    When all are stopped in turn with a gap of <gap> s
+    Then each has got SIGTERM once, and <most> at a time
+
+    Examples:
+      | count | seconds | gap  | most |
+      | 12    | 0.3     | 0.01 | 4    |
+      | 6     | 0.3     | 0.01 | 4    |
+      | 3     | 0.3     | 0.01 | 2    |
+      | 6     | 0.01    | 0.1  | 1    |
+
+  Scenario: the nodes of a service of two VMs are stopped in turn as well
+    Given a soak of 14 nodes that take 0.1 s for a stop and start
+    And two of them have a service of their own
+    When all are stopped in turn with a gap of 0.01 s
+    Then each has got SIGTERM once, and 4 at a time
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -9,6 +9,7 @@
 import time
 import types
 import typing
+from unittest import mock
 
 import behave
 
@@ -427,7 +428,7 @@
     if verb == 'stays':
         context.caller.stay_share = share
     else:
-        context.caller.stray_share = share
+        context.caller.start_share = share
 
 
 @behave.when('it chooses {count:d} times, with open connections to {which:w}')
@@ -564,3 +565,69 @@
     context: typing.Any, nodes: int, count: int, mix: str
 ) -> None:
     assert run.usual_callers(mix, nodes) == count
+
+
+@behave.given(
+    'a soak that started the node of {vm} {offset:g} s before a request'
+)
+def given_started(context: typing.Any, vm: str, offset: float) -> None:
+    context.world = _world()
+    context.world.starts.append((vm, _request().sent_at - offset))
+
+
+@behave.when('the request ends with {end}')
+def when_ends(context: typing.Any, end: str) -> None:
+    request = _request()
+    if end.startswith('a '):
+        request.status = int(end.split()[-1])
+        request.is_signed = 'signed' in end
+    else:
+        request.error = end
+    context.found = checks.sent_at_start(context.world, [request])
+
+
+@behave.then('the soak tells that callers got {outcome} there')
+def then_outcome(context: typing.Any, outcome: str) -> None:
+    expected = {} if outcome == 'no outcome' else {outcome: [0.5]}
+    assert context.found == expected, context.found
+
+
+@behave.given(
+    'a soak of {count:d} nodes that take {seconds:g} s for a stop and start'
+)
+def given_nodes(context: typing.Any, count: int, seconds: float) -> None:
+    async def stop(world: worlds.World, name: str, pause_s: float) -> None:
+        assert pause_s == 0, pause_s
+        context.running.append(name)
+        context.most = max(context.most, len(context.running))
+        context.signals.append(name)
+        await asyncio.sleep(seconds)
+
+    async def wait(world: worlds.World, name: str) -> None:
+        context.running.remove(name)
+
+    context.most, context.running, context.signals = 0, [], []
+    context.acts = {'stop_and_start': stop, 'wait_ready': wait}
+    context.world = _world()
+    vm = types.SimpleNamespace(service='tonabok')
+    context.world.vms = {f'vm-{number}': vm for number in range(count)}
+
+
+@behave.given('two of them have a service of their own')
+def given_small_service(context: typing.Any) -> None:
+    for name in ('vm-0', 'vm-6'):
+        context.world.vms[name] = types.SimpleNamespace(service='trucks')
+
+
+@behave.when('all are stopped in turn with a gap of {gap_s:g} s')
+def when_in_turn(context: typing.Any, gap_s: float) -> None:
+    with mock.patch.multiple(disturbances, **context.acts, GAP_S=gap_s):
+        act = disturbances.stop_in_turn(context.world)
+        context.run(asyncio.wait_for(act, 10))
+
+
+@behave.then('each has got SIGTERM once, and {most:d} at a time')
+def then_in_turn(context: typing.Any, most: int) -> None:
+    assert context.signals == list(context.world.vms), context.signals
+    assert context.most == most, context.most
+    assert not context.world.held, context.world.held
