--- a/tests/steps/test_mesh_slow_start.py
+++ b/tests/steps/test_mesh_slow_start.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import subprocess
+import sys
 import typing
 
 import behave
 
+from standins import fleet
 from standins import slow_modules
 from tests.steps import test_mesh_deadlines as deadline_steps
 from tests.steps import test_mesh_held_up as held_up_steps
@@ -15,6 +19,29 @@
 MODULES = 90
 """Modules of the project that a node loads, or somewhat fewer."""
 
+STEPS = """
+import importlib, json, sys
+import pomelobend.cmd.sidecar
+import pomelobend.listening, pomelobend.logs, pomelobend.loop
+import pomelobend.platform.settings
+from pomelobend.mesh import starting
+
+def loaded():
+    return {
+        name
+        for name, module in sys.modules.items()
+        if name.startswith('pomelobend.') and not hasattr(module, '__path__')
+    }
+
+steps = {}
+for name in starting.MODULES:
+    before = loaded()
+    importlib.import_module(name)
+    steps[name] = sorted(loaded() - before)
+print(json.dumps(steps))
+"""
+"""Loads the modules of a node; prints what each step has loaded."""
+
 WORK_S = 0.05
 REFUSED = 503
 
@@ -93,3 +120,28 @@
         if 'x-response-signature' in headers
     ]
     assert len(served) >= count, context.answers
+
+
+@behave.when(
+    'the modules of a node are loaded in their order by another process'
+)
+def when_loaded(context: typing.Any) -> None:
+    completed = subprocess.run(
+        [sys.executable, '-c', STEPS],
+        check=True,
+        capture_output=True,
+        text=True,
+        cwd=fleet.ROOT,
+    )
+    context.steps = json.loads(completed.stdout)
+
+
+@behave.then('no step loads more than one module of the project')
+def then_single(context: typing.Any) -> None:
+    long = {name: new for name, new in context.steps.items() if len(new) > 1}
+    assert not long, long
+
+
+@behave.then('the last one is that of the node')
+def then_node(context: typing.Any) -> None:
+    assert list(context.steps)[-1] == 'pomelobend.mesh.node', context.steps
--- a/tests/steps/test_routing_startup.py
+++ b/tests/steps/test_routing_startup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import types
 import typing
 
@@ -37,6 +38,7 @@
         self.known: list[members.Member] = []
         self.refusing: set[str] = set()
         self.sent = 0
+        self.refuses_after_s = 0.0
 
     def learn(self, node: str) -> None:
         """Make a target known."""
@@ -67,9 +69,10 @@
         stats: typing.Any,
         on_silent: typing.Any = None,
     ) -> calls.Answer:
-        """Answer a call at once, or refuse it."""
+        """Answer a call at once, or refuse it, maybe later."""
         self.sent += 1
         if member.node in self.refusing:
+            await asyncio.sleep(self.refuses_after_s)
             raise errors.CallRefusedError(errors.Reason.OVERLOADED)
         return calls.Answer(200, [], b'')
 
@@ -160,11 +163,30 @@
 
 @behave.given('run times that are {known}')
 def given_run_times(context: typing.Any, known: str) -> None:
-    if known == 'close to 0 s':
-        for _ in range(40):
-            status, _ = context.run(call(context, 0.01, 1.0))
-            assert status == 200, status
-    context.remote.sent = 0
+    run_times = context.front.delivery.placer.route_times
+    seconds = {
+        'not known': [],
+        'close to 0 s': [1e-4],
+        '2 s': [2.0],
+        '0.16 s': [0.16],
+    }[known]
+    for run_s in 40 * seconds:
+        run_times.note('lookup', math.log(run_s))
+
+
+@behave.given('one target, which takes {share:g} of them')
+def given_speed(context: typing.Any, share: float) -> None:
+    placer = context.front.delivery.placer
+    (member,) = context.remote.known
+    stats = placer.stats(member)
+    for _ in range(40):
+        stats.note_answer(math.log(share))
+
+
+@behave.given('targets that refuse calls after {seconds:g} s')
+def given_refusing(context: typing.Any, seconds: float) -> None:
+    context.remote.refusing.update(m.node for m in context.remote.known)
+    context.remote.refuses_after_s = seconds
 
 
 @behave.then('it has {reached} a target')
