--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -170,6 +170,10 @@
             service = self.layout[number % len(self.layout)]
         return self.domains[column], service
 
+    def missing(self, count: int) -> set[str]:
+        """Return the services without a VM, if there are so many VMs."""
+        return set(self.services) - {self.place(n)[1] for n in range(count)}
+
     def document(self, version: int, rng: random.Random) -> dict:
         """Return a configuration with weights that change."""
         lookup = [
--- a/soak/world.py
+++ b/soak/world.py
@@ -79,7 +79,16 @@
     proxies: dict[str, proxies.Proxy] = attrs.field(factory=dict)
 
     async def start(self, count: int, *, has_proxies: bool) -> None:
-        """Start everything and wait until calls are answered."""
+        """Start everything and wait until calls are answered.
+
+        Raises
+        ------
+        ValueError
+            If there are too few VMs for all services.
+        """
+        missing = self.deployment.missing(count)
+        if missing:
+            raise ValueError(f'{count} VMs: none for {sorted(missing)}')
         self.slots = self.deployment.slots
         self.heartbeat_ms = self.deployment.heartbeat_ms
         self.targets_drop = bool(self.deployment.kinds)
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -342,3 +342,18 @@
     And two of them have a service of their own
     When all are stopped in turn with a gap of 0.01 s
     Then each has got SIGTERM once, and 4 at a time
+
+  Scenario Outline: services without a VM
+    Then <count> VMs with the mix <mix> leave <services> without a VM
+
+    Examples:
+      | count | mix            | services |
+      | 12    | shortage-short | ledger   |
+      | 16    | shortage-short | none     |
+      | 12    | turn-short     | none     |
+      | 12    | longer         | none     |
+      | 6     | planned        | none     |
+
+  Scenario: a soak with too few VMs for its services ends at once
+    When a soak of 12 nodes with the mix shortage-short is started
+    Then it says that ledger has no VM
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -631,3 +631,27 @@
     assert context.signals == list(context.world.vms), context.signals
     assert context.most == most, context.most
     assert not context.world.held, context.world.held
+
+
+@behave.then('{count:d} VMs with the mix {mix} leave {services} without a VM')
+def then_missing(
+    context: typing.Any, count: int, mix: str, services: str
+) -> None:
+    missing = run.MIXES[mix].deployment.missing(count)
+    told = ', '.join(sorted(missing)) or 'none'
+    assert told == services, missing
+
+
+@behave.when('a soak of {count:d} nodes with the mix {mix} is started')
+def when_started(context: typing.Any, count: int, mix: str) -> None:
+    world = _world()
+    world.deployment = run.MIXES[mix].deployment
+    try:
+        context.run(world.start(count, has_proxies=False))
+    except ValueError as error:
+        context.said = str(error)
+
+
+@behave.then('it says that {service} has no VM')
+def then_said(context: typing.Any, service: str) -> None:
+    assert service in context.said, context.said
