--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,17 +18,27 @@
 CROSSING_S = 0.2
 """Time after its last byte in which a request may cross a close."""
 
+MAX_LATE_S = 0.1
+"""Time for which a soak may be held up; beyond it, it shows nothing."""
+
 NEAR_S = 0.1
 """Time around a moment in which a held-up soak makes it uncertain."""
 
+NEAR_START_S = 2.0
+"""Time after the start of a node in which what callers got is told."""
+
 GRACE_S = 6.0
 LATE_SENT_S = 3.0
 GONE_S = 0.5
 STABLE_S = 3.0
 """Time for which a disturbance counts."""
 
-ALLOWANCE_S = 0.15
-"""Time before a limit from which on it counts as reached."""
+RESOLUTION_S = 0.001
+"""Deadlines are told in whole ms, and a request may be read just before its
+caller notes when it was sent. Nothing else makes a limit count as reached."""
+
+NEAR_LIMIT_S = 0.15
+"""Time before a limit in which replies are told as replies at a deadline."""
 
 AT_NODES = frozenset({'pause', 'held-up', 'reset', 'cut', 'kill'})
 AT_TARGETS = frozenset({'crash', 'odd', 'swap'})
@@ -56,6 +66,7 @@
 READY = 'own 502/504 after SIGTERM, target had finished'
 ELSEWHERE = 'own 502/504 after a run'
 LIMIT = 'limit reached'
+NEAR_LIMIT = 'own 504 shortly before a limit, no stop'
 IN_TOUCH = 'closed after its run, node in touch and target sound'
 OTHERS = 'answer of another request'
 TWICE = 'ran twice'
@@ -63,8 +74,11 @@
 TURNED_AWAY = 'call of a target turned away'
 GONE = 'ran after its client had left'
 
+TIMED = (CLOSED_RUN, CLOSED_LATE, CUT, READY, NO_ANSWER)
+"""Classes of which a soak that is late may be the cause."""
+
 GRAVE = (CLOSED_RUN, CLOSED_LATE, CUT, READY, TWICE, REFUSED_RUN, OTHERS)
-USUAL = frozenset({EXCUSED, LIMIT, TURNED_AWAY, UNSURE})
+USUAL = frozenset({EXCUSED, LIMIT, NEAR_LIMIT, TURNED_AWAY, UNSURE})
 """Classes whose findings are only counted."""
 
 
@@ -142,6 +156,41 @@
     ]
 
 
+def sent_at_start(
+    world: worlds.World, requests: typing.Iterable[clients.Request]
+) -> dict[str, list[float]]:
+    """Return what callers got from nodes soon after their start.
+
+    They are the times until the ends of the requests by what came.
+    """
+    found: dict[str, list[float]] = collections.defaultdict(list)
+    for request in requests:
+        sent_at, vm = request.sent_at, request.vm
+        if any(
+            vm == name and 0 <= sent_at - began < NEAR_START_S
+            for name, began in world.starts
+        ):
+            found[_outcome(request)].append(request.ended_at - sent_at)
+    return found
+
+
+def _outcome(request: clients.Request) -> str:
+    """Return what a caller got."""
+    if request.is_signed:
+        return 'answer of a target'
+    if request.status in FAILURES:
+        return 'own 502/504'
+    if request.status:
+        return f'own {request.status}'
+    if request.has_left:
+        return 'left early'
+    if request.error == 'no answer':
+        return 'nothing'
+    if request.error == 'not connected: ConnectionRefusedError':
+        return 'connection refused'
+    return request.error
+
+
 def left_s(request: clients.Request) -> float:
     """Return how long before its deadline a request ended, in s."""
     return request.sent_at + request.deadline_s - request.ended_at
@@ -157,7 +206,7 @@
     found = [
         request
         for request in requests
-        if request.status == 504 and left_s(request) < ALLOWANCE_S
+        if request.status == 504 and left_s(request) < NEAR_LIMIT_S
     ]
     return sorted(found, key=left_s)
 
@@ -216,11 +265,14 @@
         return GONE
     if request.has_left or request.error == clients.UNREAD:
         return ''
-    limit_s = min(request.deadline_s, request.route_limit_s)
     if request.error == 'no answer':
         return UNSURE if _is_unsure(world, request) else NO_ANSWER
-    if request.ended_at - request.sent_at >= limit_s - ALLOWANCE_S:
+    limit_left_s = _limit_left_s(request)
+    if limit_left_s <= RESOLUTION_S:
         return LIMIT
+    is_near = request.status == 504 and limit_left_s < NEAR_LIMIT_S
+    if is_near and not _stop_at(world, request):
+        return NEAR_LIMIT
     if request.status in FAILURES + REFUSALS and runs:
         return _classify_failure(world, request, runs)
     if request.status in REFUSALS:
@@ -236,6 +288,12 @@
     return TURNED_AWAY if request.is_nested else ''
 
 
+def _limit_left_s(request: clients.Request) -> float:
+    """Return how long before its deadline or limit a request ended, in s."""
+    limit_s = min(request.deadline_s, request.route_limit_s)
+    return request.sent_at + limit_s - request.ended_at
+
+
 def _is_unsure(world: worlds.World, request: clients.Request) -> bool:
     """Return whether the soak may itself have missed an answer in time.
 
@@ -377,3 +435,12 @@
         if 'Traceback' in (world.processes.folder / f'{name}.log').read_text()
     ]
     return grave + ends + traces
+
+
+def certain(found: typing.Iterable[str]) -> list[str]:
+    """Return the problems that no lateness of the soak can have caused."""
+    return [
+        text
+        for text in found
+        if not text.startswith(TIMED) and not text.endswith(IN_TOUCH)
+    ]
--- a/soak/report.py
+++ b/soak/report.py
@@ -5,6 +5,8 @@
 import collections
 import datetime
 import json
+import os
+import statistics
 import typing
 
 from soak import checks
@@ -21,6 +23,21 @@
 WORDS = ('peers:', 'held up', 'http: conn', 'node: st', 'call failed')
 
 
+def lateness(late_s: float, callers: int) -> str:
+    """Return the first line: how late the soak was, and its load."""
+    load = ' '.join(f'{item:.0f}' for item in os.getloadavg())
+    line = (
+        f'late by {late_s:.2f} s at most, {callers} callers a VM, '
+        f'load average {load}'
+    )
+    if late_s <= checks.MAX_LATE_S:
+        return line
+    return (
+        f'NOT RUN: {line}; by over {checks.MAX_LATE_S} s it shows nothing '
+        'but what no lateness can cause. Use fewer --callers.'
+    )
+
+
 def build(
     world: worlds.World,
     requests: list[clients.Request],
@@ -47,6 +64,7 @@
             f'sent during {kind}: {_summary(world, requests, kind)}'
             for kind in ('term', 'start')
         ),
+        *_starts(world, requests),
         *_reply_times(world, requests),
         *_closes(world, requests),
         *_silences(world, findings),
@@ -72,6 +90,20 @@
     return f'{len(found)}, {dict(ends)}, longest {longest_s:.2f} s'
 
 
+def _starts(
+    world: worlds.World, requests: list[clients.Request]
+) -> typing.Iterator[str]:
+    """Yield what callers got from nodes soon after their start, in s."""
+    found = checks.sent_at_start(world, requests)
+    count = sum(map(len, found.values()))
+    yield f'sent within {checks.NEAR_START_S:g} s of a start: {count}'
+    for outcome, times in sorted(found.items()):
+        yield (
+            f'{len(times):5d} {outcome}, after {statistics.median(times):.3f} '
+            f's in the middle, {max(times):.3f} s at most'
+        )
+
+
 def _reply_times(
     world: worlds.World, requests: list[clients.Request]
 ) -> typing.Iterator[str]:
