Soak: a deadline that is reached beside a stop, with a target at work, is no loss

A node that stops waits for a target at work until its caller leaves; the soak counted the caller as left without an answer.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,9 @@
 """Time after the start of a node in which what callers got is told."""
 
 GRACE_S = 6.0
+AFTER_GRACE_S = 1.0
+"""Time after a grace period that still counts as planned work."""
+
 LATE_SENT_S = 3.0
 GONE_S = 0.5
 STABLE_S = 3.0
@@ -266,6 +269,8 @@
     if request.has_left or request.error == clients.UNREAD:
         return ''
     if request.error == 'no answer':
+        if _is_awaited(world, request, runs):
+            return LIMIT
         return UNSURE if _is_unsure(world, request) else NO_ANSWER
     limit_left_s = _limit_left_s(request)
     if limit_left_s <= RESOLUTION_S:
@@ -294,6 +299,22 @@
     return request.sent_at + limit_s - request.ended_at
 
 
+def _is_awaited(
+    world: worlds.World, request: clients.Request, runs: list[Run]
+) -> bool:
+    """Return whether a target was at work at the deadline, beside a stop.
+
+    An answer of the node's own before that would be in place of its work.
+    """
+    leaves_at = request.sent_at + request.deadline_s
+    is_at_work = any(run.ended >= leaves_at or not run.ended for run in runs)
+    return is_at_work and any(
+        (event.kind, event.vm) == ('term', request.vm)
+        and 0 <= request.ended_at - event.began <= GRACE_S + AFTER_GRACE_S
+        for event in world.events
+    )
+
+
 def _is_unsure(world: worlds.World, request: clients.Request) -> bool:
     """Return whether the soak may itself have missed an answer in time.
 
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -187,6 +187,32 @@
     context.findings = _findings(context, [request])
 
 
+@behave.given(
+    'a soak in which {trouble:w} was done to {vm} {before:g} s before a '
+    'request'
+)
+def given_trouble_before(
+    context: typing.Any, trouble: str, vm: str, before: float
+) -> None:
+    began = _request().sent_at - before
+    context.world = _world(worlds.Event(trouble, vm, began, began + 3))
+
+
+@behave.when('a caller leaves at its deadline and a target {ran} it')
+def when_left_beside(context: typing.Any, ran: str) -> None:
+    request = _request()
+    request.ended_at = request.sent_at + request.deadline_s
+    request.error = 'no answer'
+    ends = {
+        'was at work at the end on': request.ended_at + 0.04,
+        'had ended': request.ended_at - 0.04,
+    }
+    if ran in ends:
+        spans = {request.identity: [[BEGAN + 1.1, ends[ran]]]}
+        context.world.reports.append(('target-vm', {'spans': spans}))
+    context.findings = checks.judge(context.world, [request])
+
+
 @behave.given(
     'a soak that was held up for {seconds:g} s, {offset:g} s after the request'
 )
