--- a/tests/steps/test_admission_cold.py
+++ b/tests/steps/test_admission_cold.py
@@ -38,7 +38,7 @@
 RESTART_S = 1.1
 SLOTS = 1000
 INSTANT_S = 0.001
-EXAMPLES = 300
+EXAMPLES = 1000
 STEPS = 25
 RECORD = node_records.NodeRecord('vik', '127.0.0.1:8', 'tonabok', 'v1', 6)
 
