--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -149,12 +149,9 @@
         if began is None:
             began = self.clock.monotonic()
         ends = _ends(request, began)
-        wait_s = min(
-            began + (ends.reply - began) * WAIT_SHARE - self.clock.monotonic(),
-            ends.reply - self.clock.monotonic(),
-        )
+        waits_until = began + (ends.reply - began) * WAIT_SHARE
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(waits_until - self.clock.monotonic()):
                 answer = await asyncio.shield(self.successor)
         except TimeoutError:
             return self._refuse(ends)
