Node: the server for callers is given, and brings the clock and the counters

from_config has one caller, which always gives a server that listens. The node built a second server for callers and threw it away, and each of its other parameters had a default that nothing used. Behaviour as before.

mesh/test_mesh_slow_start, test_mesh_path, test_mesh_signals and test_mesh_addresses: 59 scenarios passed (load average 6 to 10).

--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -206,9 +206,7 @@
     await server.listen()
     await load_modules()
     nodes = importlib.import_module(MODULES[-1])
-    node = nodes.Node.from_config(
-        settings, clock, sockets, listening_since, server
-    )
+    node = nodes.Node.from_config(settings, server, sockets)
     front.successor.set_result(node.front.answer)
     logger.info(
         'node: modules loaded',
