--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -148,35 +148,33 @@
         began = request.began_at
         if began is None:
             began = self.clock.monotonic()
-        ends = _ends(request, began)
-        waits_until = began + (ends.reply - began) * WAIT_SHARE
+        reply_at = _reply_at(request, began)
+        waits_until = began + (reply_at - began) * WAIT_SHARE
         try:
             async with asyncio.timeout(waits_until - self.clock.monotonic()):
                 answer = await asyncio.shield(self.successor)
         except TimeoutError:
-            return self._refuse(ends)
+            return self._refuse(reply_at)
         return await answer(request)
 
-    def _refuse(self, ends: deadlines.Deadlines) -> message.Reply:
+    def _refuse(self, reply_at: float) -> message.Reply:
         """Return a refusal of a request, which has not run and never will."""
         self.refused += 1
-        left_s = ends.reply - self.clock.monotonic()
+        left_s = reply_at - self.clock.monotonic()
         seconds = retry_after.retry_after_s(0.0, left_s, self.random)
         return message.Reply(503, [wire.retry_after(seconds)])
 
 
-def _ends(request: message.Request, began: float) -> deadlines.Deadlines:
-    """Return the ends of a request whose route is not known.
+def _reply_at(request: message.Request, began: float) -> float:
+    """Return when a request must be replied to, whose route is not known.
 
     One that states no valid time is refused by the node; it waits for that.
     """
     try:
-        requested_s = wire.deadline_s(request)
+        requested_s = wire.deadline_s(request, deadlines.DEFAULT_S)
     except errors.MalformedError:
-        requested_s = None
-    if requested_s is None:
         requested_s = deadlines.DEFAULT_S
-    return deadlines.of(began, requested_s, requested_s)
+    return deadlines.of(began, requested_s, requested_s).reply
 
 
 async def run(
