Tests, benchmarks: one client without connections for all simulated targets

Four stubs took the place of a client, of its connections and of its dialect in the same lines. Three steps of held calls sent a call to all nodes in the same loop.

--- a/tests/steps/test_routing_held_calls.py
+++ b/tests/steps/test_routing_held_calls.py
@@ -8,6 +8,7 @@
 import attrs
 import behave
 
+from benchmarks.model import clients
 from pomelobend.admission import gate as gates
 from pomelobend import calls
 from pomelobend import errors
@@ -32,7 +33,7 @@
 
 
 @attrs.define(eq=False)
-class Node:
+class Node(clients.UnconnectedClient):
     """A node whose target crashes on one call unless its version bears it.
 
     It takes the place of the directory of the node.
@@ -48,19 +49,6 @@
     broadcaster: broadcasts.Broadcaster | None = None
     crashed_at: float | None = None
     started_ms: int = 1000
-    dialect: typing.Any = None
-    target: str = ''
-
-    @property
-    def channels(self) -> Node:
-        """Return the holder of the connections."""
-        return self
-
-    def use(self, address: str) -> None:
-        """Accept the address of the target and ignore it."""
-
-    def close(self) -> None:
-        """Close all connections."""
 
     async def call(
         self,
@@ -161,7 +149,6 @@
         self.nodes[name] = node = Node(
             self, name, own, quarantines.Quarantine(self.clock.monotonic)
         )
-        node.dialect = node
         counters = counter_module.Counters()
         node.gate = gates.Gate(
             'tonabok', self.clock, node, counters, 1e6, lambda: False
@@ -216,6 +203,10 @@
         """Run a call at another node."""
         return await self.nodes[member.node].gate.run(call)
 
+    async def send_to_all(self, body: bytes) -> set[str]:
+        """Return the outcomes of a call that each node receives."""
+        return {await self.send(body, node) for node in self.nodes.values()}
+
     async def send(self, body: bytes, node: Node) -> str:
         """Return the outcome of a call that a node receives."""
         call = quarantine_steps.call_of(self.clock, SAME_PATH)
@@ -291,14 +282,8 @@
 
 @behave.then('it is refused at every node')
 def then_refused(context: typing.Any) -> None:
-    async def outcomes() -> list[str]:
-        return [
-            await context.mesh.send(b'deadly', node)
-            for node in context.mesh.nodes.values()
-        ]
-
-    found = context.run(outcomes())
-    assert set(found) == {'crashes-targets'}, found
+    found = context.run(context.mesh.send_to_all(b'deadly'))
+    assert found == {'crashes-targets'}, found
 
 
 @behave.then('it has reached {count:d} more target, of version {version}')
@@ -311,26 +296,14 @@
 def then_answered(context: typing.Any, version: str) -> None:
     found = context.mesh.reached[context.before :]
     assert {v for _, v in found} == {version}, found
-
-    async def outcomes() -> list[str]:
-        return [
-            await context.mesh.send(b'deadly', node)
-            for node in context.mesh.nodes.values()
-        ]
-
-    assert set(context.run(outcomes())) == {'answered'}
+    outcomes = context.run(context.mesh.send_to_all(b'deadly'))
+    assert outcomes == {'answered'}, outcomes
 
 
 @behave.then('a call with the same path is answered at every node')
 def then_same_path(context: typing.Any) -> None:
-    async def outcomes() -> list[str]:
-        return [
-            await context.mesh.send(b'other', node)
-            for node in context.mesh.nodes.values()
-        ]
-
-    found = context.run(outcomes())
-    assert set(found) == {'answered'}, found
+    found = context.run(context.mesh.send_to_all(b'other'))
+    assert found == {'answered'}, found
 
 
 @behave.when('a node that knows of no crash takes the place of n{number:d}')
