--- a/pomelobend/lateness.py
+++ b/pomelobend/lateness.py
@@ -24,7 +24,7 @@
 
 RANK = 4
 """Rank of the usual delay among those of the last looks, the longest first.
-So a few hiccups don't count as usual, and one look in twenty was later."""
+So a few long delays don't count as usual, and one look in twenty was later."""
 
 
 @attrs.define(eq=False)
--- a/pomelobend/mesh/crash_reports.py
+++ b/pomelobend/mesh/crash_reports.py
@@ -73,10 +73,11 @@
             )
 
     def note_lost(self, call: call_module.Call) -> bool:
-        """Report a held call whose connection broke when it was let through.
+        """Tell all nodes of a held call whose connection broke as it ran.
 
-        Other nodes must know before it comes again, and the proof of a crash
-        can take until the target is back.
+        Returns whether the call is held. The break counts as a crash then:
+        its proof may take until the target is back, and the call may come
+        again at any node before.
         """
         fingerprint = call.fingerprint
         if self._is_unknown(call) or not self.quarantine.is_held(fingerprint):
--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -44,7 +44,7 @@
 """Share of the grace period in which a call at work is owed its answer."""
 
 AFTER_S = 1.0
-"""Time after a grace period that still counts as planned work."""
+"""Time past a grace period in which callers are still affected by a stop."""
 
 LEAST_S = 0.2
 """Shortest time that a stop takes, however late SIGTERM was handled."""
@@ -61,16 +61,15 @@
     Parameters
     ----------
     follows_until : float
-        Monotonic time until which the planned stop of an earlier process of
-        this node may last.
+        Monotonic time until which callers may still be affected by the stop
+        of an earlier process of this node.
     accepts_until, listens_until, replies_until, closes_at : float
         Monotonic times at which calls are no longer accepted regardless of
         their deadlines, at which no more connections are accepted, at which
         callers that still wait get their replies, and at which connections
         are closed; infinite before SIGTERM.
     timeouts : dict of asyncio.Timeout to tuple of float
-        The calls in flight, and their limits otherwise and beside a planned
-        stop, as monotonic times.
+        The calls in flight, and their two limits as in ``limit``.
     """
 
     clock: clocks.Clock
@@ -168,12 +167,15 @@
             raise errors.CallRefusedError(errors.Reason.STOPPING)
 
     def limit(self, deadline: float, last: float) -> float:
-        """Return the limit that is in force, as a monotonic time.
+        """Return the time at which a call ends whose target is silent.
 
         Parameters
         ----------
-        deadline, last : float
-            The limits otherwise, and beside a planned stop.
+        deadline : float
+            Its limit at a node that neither stops nor follows a process that
+            was stopped.
+        last : float
+            Its limit at a node that does.
         """
         if math.isfinite(self.replies_until):
             return min(last, self.replies_until)
@@ -212,9 +214,8 @@
         ----------
         deadline : float
         last : float or None
-            Time that takes the place of the deadline beside a planned stop.
-            Whoever is at work for a caller is then not cut short for the way
-            of a reply.
+            Limit beside a stop, the deadline by default (see ``limit``). A
+            target at work is then not cut short for the way of a reply.
 
         Raises
         ------
--- a/pomelobend/mesh/incoming.py
+++ b/pomelobend/mesh/incoming.py
@@ -81,9 +81,16 @@
     ) -> None:
         """Dispatch a message that a node has broadcast.
 
+        Parameters
+        ----------
+        origin : str
+            Name of that node, which may not be the one that passed it on.
+        message : messages.Message
+
         Raises
         ------
         errors.ProtocolError
+            No component handles such a message.
         """
         match message:
             case messages.Evidence():
--- a/pomelobend/routing/deadlines.py
+++ b/pomelobend/routing/deadlines.py
@@ -51,8 +51,8 @@
     reply : float
         Time at which the node replies itself if no answer has come.
     last : float
-        The same beside a planned stop: its caller has left, or the limit of
-        the route is over. Until then a target at work is owed its answer.
+        The same beside a stop of the node: its caller has left, or the limit
+        of the route is over. A target at work is not cut short before.
     """
 
     target: float
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,7 +29,7 @@
 
 GRACE_S = 6.0
 AFTER_GRACE_S = 1.0
-"""Time after a grace period that still counts as planned work."""
+"""Time past a grace period in which a loss still counts as one of the stop."""
 
 LATE_SENT_S = 3.0
 GONE_S = 0.5
