--- /dev/null
+++ b/pomelobend/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory of a node: what it uses, and what it holds for others."""
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -44,6 +44,7 @@
     'pomelobend.membership.heartbeat',
     'pomelobend.admission.gate',
     'pomelobend.lateness',
+    'pomelobend.memory.watch',
     'pomelobend.peers.messages',
     'pomelobend.peers.codec',
     'pomelobend.mesh.broadcasts',
