Memory: one budget for all bytes that a node holds for others

Not used yet. Bodies draw from it in each place where they are held; the largest one that is being received is given up above it, small ones pass.

--- /dev/null
+++ b/pomelobend/memory/budget.py
@@ -0,0 +1,242 @@
+"""One limit for all bytes that a node holds for others.
+
+Bodies of requests and answers are held in several places: while they are
+received, while they wait or are processed, and until their receiver has taken
+them. All draw from one budget, so that no load fills the memory of the node
+and ends the calls of others. A body without end becomes the largest one soon,
+and is given up alone; small ones beside it are not touched.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+import weakref
+
+import attrs
+import structlog
+
+from pomelobend import errors
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+logger = structlog.get_logger('memory')
+
+KB = 1024
+MB = 1024 * 1024
+
+PROGRAM_BYTES = 64 * MB
+"""Memory of the program itself, with its tables and connections."""
+
+COPIES = 2
+"""Memory that a held byte takes at most: a part of it may also be in the
+buffer of a connection, and the allocator keeps free blocks."""
+
+LEAST_BYTES = 8 * MB
+"""Budget of a node with hardly more memory than the program needs."""
+
+UNKNOWN_BYTES = 72 * MB
+"""Budget where the memory of the VM is unknown: one body of the largest size
+that a configuration usually allows, and small ones beside it."""
+
+SMALL_BYTES = 64 * KB
+"""Size up to which a body is small."""
+
+LARGE_SHARE = 7 / 8
+"""Share of the budget that large bodies may use, so that small ones pass."""
+
+
+class Place(enum.StrEnum):
+    """Where bytes are held."""
+
+    REQUESTS = 'requests'
+    ANSWERS = 'answers'
+    REPLIES = 'replies'
+    NODES = 'nodes'
+
+
+@attrs.define(eq=False)
+class Holding:
+    """The bytes of one body in one place.
+
+    It ends with ``release``, or with the last reference to it: whatever
+    drops a body, as a call is cancelled or answered elsewhere, frees its
+    bytes.
+
+    Parameters
+    ----------
+    budget : Budget
+    place : Place
+    on_give_up : callable or None
+        Frees the bytes if their memory is needed; None for a body that is
+        whole and is not given up.
+    size : int
+    is_growing : bool
+        Whether the body is still being received.
+    is_given_up : bool
+    """
+
+    budget: Budget
+    place: Place
+    on_give_up: abc.Callable[[], None] | None = None
+    size: int = 0
+    is_growing: bool = True
+    is_given_up: bool = False
+
+    def grow(self, size: int) -> None:
+        """Hold more bytes; bodies are given up if there is no room.
+
+        Raises
+        ------
+        errors.MemoryFullError
+            This body was given up.
+        """
+        if not self.is_given_up:
+            self.budget.take(self, size)
+        if self.is_given_up:
+            raise errors.MemoryFullError(
+                f'no memory for a body of {self.size + size} bytes'
+            )
+
+    def complete(
+        self,
+        place: Place | None = None,
+        on_give_up: abc.Callable[[], None] | None = None,
+    ) -> None:
+        """Note that the body is whole, and who can free its bytes now."""
+        self.is_growing = False
+        self.on_give_up = on_give_up
+        if place is not None:
+            self.budget.move(self, place)
+
+    def release(self) -> None:
+        """Free the bytes."""
+        self.budget.free(self)
+
+    def __del__(self) -> None:
+        """Free the bytes of a body that was dropped."""
+        if self.size:
+            self.budget.free(self)
+
+
+@attrs.define(eq=False)
+class Budget:
+    """Limits the bytes that a node holds for others.
+
+    Parameters
+    ----------
+    max_bytes : int
+    used_bytes : int
+    by_place : dict of Place to int
+        The used bytes.
+    given_up : Counter of Place
+        Number of bodies that were given up.
+    """
+
+    max_bytes: int = UNKNOWN_BYTES
+    used_bytes: int = 0
+    by_place: collections.Counter[Place] = attrs.field(
+        factory=collections.Counter
+    )
+    given_up: collections.Counter[Place] = attrs.field(
+        factory=collections.Counter
+    )
+    holdings: weakref.WeakSet[Holding] = attrs.field(factory=weakref.WeakSet)
+
+    @classmethod
+    def of_node(cls, memory_bytes: int | None) -> Budget:
+        """Return the budget of a node that may use an amount of memory."""
+        if not memory_bytes:
+            return cls()
+        room = (memory_bytes - PROGRAM_BYTES) // COPIES
+        return cls(max(LEAST_BYTES, room))
+
+    @property
+    def large_bytes(self) -> int:
+        """Return the part of the budget that large bodies may use."""
+        return round(LARGE_SHARE * self.max_bytes)
+
+    def open(
+        self,
+        place: Place,
+        on_give_up: abc.Callable[[], None] | None = None,
+    ) -> Holding:
+        """Return a holding for a body that is being received."""
+        holding = Holding(self, place, on_give_up)
+        self.holdings.add(holding)
+        return holding
+
+    def check_length(self, length: int | None) -> None:
+        """Reject a body whose announced length never has room.
+
+        Raises
+        ------
+        errors.MemoryFullError
+        """
+        if length is not None and length > self.large_bytes:
+            raise errors.MemoryFullError(
+                f'a body of {length} bytes is too large'
+            )
+
+    def take(self, holding: Holding, size: int) -> None:
+        """Give bytes to a holding, or give it up.
+
+        The largest body that is being received goes first. A small body may
+        also displace one that is whole, if its receiver doesn't take it.
+        """
+        self._add(holding, size)
+        while not self._has_room(holding) and not holding.is_given_up:
+            self._give_up(self._victim(holding))
+
+    def move(self, holding: Holding, place: Place) -> None:
+        """Note that the bytes of a holding are in another place now."""
+        self.by_place[holding.place] -= holding.size
+        self.by_place[place] += holding.size
+        holding.place = place
+
+    def free(self, holding: Holding) -> None:
+        """Take back the bytes of a holding."""
+        self.used_bytes -= holding.size
+        self.by_place[holding.place] -= holding.size
+        holding.size = 0
+
+    def _add(self, holding: Holding, size: int) -> None:
+        holding.size += size
+        self.used_bytes += size
+        self.by_place[holding.place] += size
+
+    def _has_room(self, holding: Holding) -> bool:
+        is_small = holding.size <= SMALL_BYTES
+        limit = self.max_bytes if is_small else self.large_bytes
+        return self.used_bytes <= limit
+
+    def _victim(self, holding: Holding) -> Holding:
+        """Return the body that makes room for another one, or that one."""
+        others = [item for item in self.holdings if item.size > SMALL_BYTES]
+        growing = [item for item in others if item.is_growing]
+        if growing:
+            return max(growing, key=lambda item: item.size)
+        if holding.size > SMALL_BYTES:
+            return holding
+        untaken = [item for item in others if item.on_give_up is not None]
+        return max(untaken, key=lambda item: item.size, default=holding)
+
+    def _give_up(self, holding: Holding) -> None:
+        logger.warning(
+            'memory: a body is given up',
+            place=str(holding.place),
+            size_kb=holding.size // KB,
+            is_whole=not holding.is_growing,
+            used_kb=self.used_bytes // KB,
+            max_kb=self.max_bytes // KB,
+            by_place_kb={
+                str(place): size // KB for place, size in self.by_place.items()
+            },
+        )
+        self.given_up[holding.place] += 1
+        holding.is_given_up = True
+        self.free(holding)
+        if holding.on_give_up is not None:
+            holding.on_give_up()
--- /dev/null
+++ b/tests/memory/test_memory_budget.feature
@@ -0,0 +1,44 @@
+Feature: one budget for all bytes that a node holds for others
+
+  Scenario Outline: the budget follows from the memory of the node
+    Given a node that may use <memory> MB
+    Then its budget is <budget> MB
+
+    Examples:
+      | memory | budget |
+      | 0      | 72     |
+      | 300    | 118    |
+      | 200    | 68     |
+      | 70     | 8      |
+
+  # Guards against an answer without end that ends the calls of others.
+  Scenario: a body without end is given up alone
+    Given a budget of 16 MB with 100 bodies of 50 KB
+    When a body grows without end
+    Then it is given up, and no other
+
+  Scenario: the largest of the bodies that grow is given up
+    Given a budget of 16 MB with bodies of 3, 5, 4 MB that grow
+    When a body grows to 3 MB
+    Then the body of 5 MB is given up
+
+  # Guards against callers that don't read, and keep small answers out.
+  Scenario: small bodies displace replies that nobody takes
+    Given a budget of 16 MB that replies of 2 MB fill
+    When 100 bodies of 50 KB are received
+    Then none of them is given up
+
+  Scenario: large bodies do not displace replies
+    Given a budget of 16 MB that replies of 2 MB fill
+    When a body grows to 3 MB
+    Then it is given up, and no other
+
+  Scenario: a body that is dropped frees its bytes
+    Given a budget of 16 MB with 100 bodies of 50 KB
+    When all of them are dropped
+    Then nothing is held
+
+  # Guards against bytes that are counted twice or never given back.
+  Scenario: the budget holds for any course of bodies
+    When bodies grow, become whole, are moved, released and dropped at random
+    Then the budget is never exceeded, and its sums are those of the bodies
--- /dev/null
+++ b/tests/steps/test_memory_budget.py
@@ -0,0 +1,216 @@
+"""Steps of the budget for bytes that are held for others."""
+
+from __future__ import annotations
+
+import typing
+
+import behave
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from pomelobend import errors
+from pomelobend.memory import budget as budgets
+
+KB = 1024
+MB = 1024 * KB
+MODEL_BYTES = 4 * MB
+STEPS = 60
+EXAMPLES = 60
+
+
+@behave.given('a node that may use {memory:d} MB')
+def given_node(context: typing.Any, memory: int) -> None:
+    context.budget = budgets.Budget.of_node(memory * MB)
+
+
+@behave.then('its budget is {size:d} MB')
+def then_budget(context: typing.Any, size: int) -> None:
+    assert context.budget.max_bytes == size * MB, context.budget.max_bytes
+
+
+def _received(
+    budget: budgets.Budget, size: int, *, is_whole: bool
+) -> budgets.Holding:
+    holding = budget.open(budgets.Place.ANSWERS)
+    holding.grow(size)
+    if is_whole:
+        holding.complete(budgets.Place.REPLIES, lambda: None)
+    return holding
+
+
+@behave.given('a budget of {size:d} MB with {count:d} bodies of {each:d} KB')
+def given_bodies(
+    context: typing.Any, size: int, count: int, each: int
+) -> None:
+    context.budget = budgets.Budget(size * MB)
+    context.held = [
+        _received(context.budget, each * KB, is_whole=number % 2 == 0)
+        for number in range(count)
+    ]
+
+
+@behave.given('a budget of {size:d} MB with bodies of {sizes} MB that grow')
+def given_growing(context: typing.Any, size: int, sizes: str) -> None:
+    context.budget = budgets.Budget(size * MB)
+    context.held = [
+        _received(context.budget, int(each) * MB, is_whole=False)
+        for each in sizes.split(', ')
+    ]
+
+
+@behave.given('a budget of {size:d} MB that replies of {each:d} MB fill')
+def given_replies(context: typing.Any, size: int, each: int) -> None:
+    context.budget = budgets.Budget(size * MB)
+    context.held = [
+        _received(context.budget, each * MB, is_whole=True)
+        for _ in range(int(context.budget.large_bytes / MB) // each)
+    ]
+
+
+def _grow(holding: budgets.Holding, size: int) -> bool:
+    """Let a body grow to a size; return whether it was given up."""
+    try:
+        while holding.size < size:
+            holding.grow(16 * KB)
+    except errors.MemoryFullError:
+        return True
+    return False
+
+
+@behave.when('a body grows without end')
+def when_endless(context: typing.Any) -> None:
+    context.body = context.budget.open(budgets.Place.ANSWERS)
+    assert _grow(context.body, 1024 * MB)
+
+
+@behave.when('a body grows to {size:d} MB')
+def when_grown(context: typing.Any, size: int) -> None:
+    context.body = context.budget.open(budgets.Place.ANSWERS)
+    _grow(context.body, size * MB)
+
+
+@behave.when('{count:d} bodies of {each:d} KB are received')
+def when_received(context: typing.Any, count: int, each: int) -> None:
+    context.received = [
+        _received(context.budget, each * KB, is_whole=True)
+        for _ in range(count)
+    ]
+
+
+@behave.when('all of them are dropped')
+def when_dropped(context: typing.Any) -> None:
+    context.held.clear()
+
+
+@behave.then('it is given up, and no other')
+def then_alone(context: typing.Any) -> None:
+    assert context.body.is_given_up
+    assert not any(holding.is_given_up for holding in context.held)
+
+
+@behave.then('the body of {size:d} MB is given up')
+def then_given_up(context: typing.Any, size: int) -> None:
+    found = [item for item in context.held if item.is_given_up]
+    assert found == [context.held[1]], found
+    assert not context.body.is_given_up
+
+
+@behave.then('none of them is given up')
+def then_none(context: typing.Any) -> None:
+    assert not any(item.is_given_up for item in context.received)
+    assert context.budget.used_bytes <= context.budget.max_bytes
+
+
+@behave.then('nothing is held')
+def then_nothing(context: typing.Any) -> None:
+    assert context.budget.used_bytes == 0
+    assert not any(context.budget.by_place.values())
+
+
+class Courses(stateful.RuleBasedStateMachine):
+    """Bodies that grow, become whole, are moved, released and dropped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.budget = budgets.Budget(MODEL_BYTES)
+        self.held: list[budgets.Holding] = []
+        self.sizes: list[int] = []
+
+    @stateful.rule(place=strategies.sampled_from(budgets.Place))
+    def begin(self, place: budgets.Place) -> None:
+        """Begin to receive a body."""
+        self.held.append(self.budget.open(place))
+        self.sizes.append(0)
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(
+        index=strategies.integers(0, 99),
+        size=strategies.integers(1, 2 * MB),
+    )
+    def grow(self, index: int, size: int) -> None:
+        """Receive more of a body."""
+        index %= len(self.held)
+        try:
+            self.held[index].grow(size)
+            self.sizes[index] += size
+        except errors.MemoryFullError:
+            assert self.held[index].is_given_up
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(
+        index=strategies.integers(0, 99),
+        place=strategies.sampled_from(budgets.Place),
+        can_end=strategies.booleans(),
+    )
+    def complete(
+        self, index: int, place: budgets.Place, can_end: bool
+    ) -> None:
+        """Let a body become whole, in another place."""
+        on_give_up = (lambda: None) if can_end else None
+        self.held[index % len(self.held)].complete(place, on_give_up)
+
+    @stateful.precondition(lambda self: self.held)
+    @stateful.rule(
+        index=strategies.integers(0, 99), is_dropped=strategies.booleans()
+    )
+    def end(self, index: int, is_dropped: bool) -> None:
+        """Release or drop a body."""
+        index %= len(self.held)
+        del self.sizes[index]
+        holding = self.held.pop(index)
+        if not is_dropped:
+            holding.release()
+
+    @stateful.invariant()
+    def sums_are_right(self) -> None:
+        """Check the limit and the sums."""
+        expected = sum(
+            size
+            for size, holding in zip(self.sizes, self.held, strict=True)
+            if not holding.is_given_up
+        )
+        assert self.budget.used_bytes == expected <= MODEL_BYTES
+        assert sum(self.budget.by_place.values()) == expected
+
+
+@behave.when(
+    'bodies grow, become whole, are moved, released and dropped at random'
+)
+def when_random(context: typing.Any) -> None:
+    context.machine = Courses
+
+
+@behave.then(
+    'the budget is never exceeded, and its sums are those of the bodies'
+)
+def then_never(context: typing.Any) -> None:
+    stateful.run_state_machine_as_test(
+        context.machine,
+        settings=hypothesis.settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
