Answers: a node holds what it counts, within one budget

Cause: answers were collected part by part and only their text was counted. A chunk of 2 bytes is an object of 35 bytes and a reference, so a limit of a sixth of the memory admitted twenty times as much. The same held for headers of one byte. Whole answers were counted by nobody. Change: a connection keeps one buffer, a body is collected into one, and both the collected and the whole body draw from the budget of the node until their receiver has them. The limit of the test is given as the part of the budget for large bodies; its size is as before.

--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -13,9 +13,10 @@
 
 from pomelobend import clock as clocks
 from pomelobend import errors
+from pomelobend.memory import budget as budgets
+from pomelobend.memory import watch
 from pomelobend.platform import dialect
 from pomelobend.routing import call as call_module
-from pomelobend.targets import body_memory
 from pomelobend.targets import channel_pool as channel_pools
 from pomelobend.targets import client as target_clients
 from standins import fleet
@@ -27,6 +28,7 @@
 SOON_S = 10.0
 SEQUENCE_DEADLINE_S = 2.0
 ARRIVAL_S = 0.2
+LOOK_S = 0.005
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -43,6 +45,16 @@
     'a trailer': (CHUNKED + b'5\r\nbells\r\n0\r\nX-Long: ', BLOCK),
     'chunks': (CHUNKED, b'10000\r\n' + BLOCK + b'\r\n'),
     'a body until the close': (HEAD + b'\r\n', BLOCK),
+    'chunks of 1 byte': (CHUNKED, b'1\r\nb\r\n' * 10_000),
+    'chunks of 2 bytes': (CHUNKED, b'2\r\nbb\r\n' * 10_000),
+    'chunks of 9 bytes': (CHUNKED, b'9\r\nbbbbbbbbb\r\n' * 5_000),
+    'headers of 1 byte': (HEAD, b'a:\r\n' * 10_000),
+    'other answers in tiny chunks': (
+        b'',
+        CHUNKED.replace(b'%b', b'other')
+        + b'2\r\nbb\r\n' * 9_000
+        + b'0\r\n\r\n',
+    ),
 }
 """First bytes of each answer, and the bytes that are repeated after them."""
 
@@ -54,6 +66,7 @@
     answer: typing.Callable[[int, bytes], typing.Iterable[bytes]]
     calls: int = 0
     sent_bytes: int = 0
+    is_closing: bool = False
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     async def serve(
@@ -70,6 +83,8 @@
                     writer.write(data)
                     self.sent_bytes += len(data)
                     await writer.drain()
+                if self.is_closing:
+                    writer.close()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -91,7 +106,7 @@
         1.0,
         dialect.TargetDialect(),
         buffers_bodies=True,
-        memory=body_memory.BodyMemory(LIMIT_BYTES),
+        budget=budgets.Budget(round(LIMIT_BYTES / budgets.LARGE_SHARE)),
     )
     context.client.use(f'127.0.0.1:{port}')
 
@@ -118,6 +133,31 @@
     _start(context, lambda _, attempt_id: _endless(what, attempt_id))
 
 
+@behave.given('an answer of {size:d} bytes in chunks of {each:d}')
+def given_chunked(context: typing.Any, size: int, each: int) -> None:
+    context.size = size
+    whole, rest = divmod(size, each)
+    chunks = _chunk(each) * whole + (_chunk(rest) if rest else b'')
+    _start(
+        context,
+        lambda _, attempt_id: [CHUNKED % attempt_id, chunks, b'0\r\n\r\n'],
+    )
+
+
+def _chunk(size: int) -> bytes:
+    return b'%x\r\n%b\r\n' % (size, b'b' * size)
+
+
+@behave.given('an answer of {size:d} bytes until the close')
+def given_until_close(context: typing.Any, size: int) -> None:
+    context.size = size
+    _start(
+        context,
+        lambda _, attempt_id: [HEAD % attempt_id + b'\r\n' + b'b' * size],
+    )
+    context.target.is_closing = True
+
+
 @behave.given('an announced body beyond the limit')
 def given_announced(context: typing.Any) -> None:
     length = b'Content-Length: %d\r\n\r\n' % (LIMIT_BYTES + 1)
@@ -203,6 +243,42 @@
     *context.outcomes, context.outcome = context.run(act())
 
 
+@behave.when(
+    'the target gets {count:d} calls at a time whose memory is measured'
+)
+def when_measured(context: typing.Any, count: int) -> None:
+    async def act() -> list[bytes | errors.Reason]:
+        found = [_send(context.client, n, 20.0) for n in range(count)]
+        return await asyncio.gather(*found)
+
+    before = watch.resident_bytes()
+    context.outcomes, peak_bytes = context.run(_measured(act()))
+    context.held_bytes = peak_bytes - before
+
+
+async def _measured(
+    work: typing.Coroutine[None, None, list],
+) -> tuple[list, int]:
+    """Return a result, and the most memory of this process meanwhile."""
+    task = asyncio.create_task(work)
+    peak_bytes = 0
+    while not task.done():
+        peak_bytes = max(peak_bytes, watch.resident_bytes())
+        await asyncio.sleep(LOOK_S)
+    return task.result(), peak_bytes
+
+
+@behave.then('all of them end as lost')
+def then_all_lost(context: typing.Any) -> None:
+    expected = errors.Reason.TARGET_LOST
+    assert all(item is expected for item in context.outcomes)
+
+
+@behave.then('at most {size:d} MiB were held for them at a time')
+def then_held(context: typing.Any, size: int) -> None:
+    assert context.held_bytes <= size * 1024 * 1024, context.held_bytes
+
+
 @behave.then('the call ends as lost, well before its deadline')
 def then_lost(context: typing.Any) -> None:
     assert context.outcome is errors.Reason.TARGET_LOST, context.outcome
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -22,6 +22,46 @@
       | a trailer                 |
       | chunks                    |
       | a body until the close    |
+      | chunks of 1 byte          |
+      | chunks of 2 bytes         |
+      | chunks of 9 bytes         |
+      | headers of 1 byte         |
+      | other answers in tiny chunks |
+
+  # Guards against a limit that counts the text of parts, not their memory.
+  Scenario Outline: an answer with <what> without end takes little memory
+    Given an answer with <what> without end
+    When the target gets 10 calls at a time whose memory is measured
+    Then all of them end as lost
+    And at most 24 MiB were held for them at a time
+
+    Examples:
+      | what                      |
+      | chunks                    |
+      | chunks of 1 byte          |
+      | chunks of 2 bytes         |
+      | chunks of 9 bytes         |
+      | headers of 1 byte         |
+      | a body until the close    |
+
+  Scenario Outline: an answer of <size> bytes in chunks of <each> arrives whole
+    Given an answer of <size> bytes in chunks of <each>
+    When the target gets a call with a deadline of 20 s
+    Then the body arrives whole
+
+    Examples:
+      | size    | each  |
+      | 300000  | 1     |
+      | 300000  | 2     |
+      | 2000000 | 9     |
+      | 4000000 | 65536 |
+
+  # Guards against an answer that is cut as its connection ends while it waits
+  # to be parsed.
+  Scenario: an answer until the close arrives whole, though it came at once
+    Given an answer of 3000000 bytes until the close
+    When the target gets a call with a deadline of 20 s
+    Then the body arrives whole
 
   Scenario: a length beyond the limit is refused without reading the body
     Given an announced body beyond the limit
