Answers: input of many small parts is parsed in turns

Cause: 256 KiB are read at a time, which is 40,000 chunks, parsed at one go, on each connection in each round of the loop. Change: input is parsed in slices of 4 KiB; a connection with more than 256 parts reads no more and waits for its turn, one in each round of the loop. An answer of few parts is parsed at once, as before.

--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -53,6 +53,7 @@
     'pomelobend.platform.decode',
     'pomelobend.platform.paths',
     'pomelobend.calls',
+    'pomelobend.turns',
     'pomelobend.targets.channel',
     'pomelobend.targets.channel_pool',
     'pomelobend.targets.probe',
--- a/pomelobend/targets/channel_pool.py
+++ b/pomelobend/targets/channel_pool.py
@@ -10,6 +10,7 @@
 
 from pomelobend import addresses
 from pomelobend.targets import channel as channels
+from pomelobend import turns as turn_module
 
 if typing.TYPE_CHECKING:
     from pomelobend import clock as clocks
@@ -36,6 +37,7 @@
     options: tuple[tuple[int, int, int], ...] = ()
     idle: list[channels.Channel] = attrs.field(factory=list)
     opened: int = 0
+    turns: turn_module.Turns = attrs.field(factory=turn_module.Turns)
 
     def use(self, address: str) -> None:
         """Set the target address; close idle connections to another one."""
@@ -60,7 +62,9 @@
         host, port = addresses.split(self.address)
         loop = asyncio.get_running_loop()
         self.opened += 1
-        _, channel = await loop.create_connection(channels.Channel, host, port)
+        _, channel = await loop.create_connection(
+            lambda: channels.Channel(self.turns), host, port
+        )
         sock = channel.transport.get_extra_info('socket')
         for option in self.options:
             sock.setsockopt(*option)
--- /dev/null
+++ b/tests/targets/test_targets_turns.feature
@@ -0,0 +1,22 @@
+Feature: input of many connections is parsed in turns
+
+  # Guards against connections whose input of very many small parts takes the
+  # loop, while other callers wait.
+  Scenario: others come in between the turns of inputs of many small parts
+    Given 20 connections that receive 250000 bytes of 1-byte parts each
+    Then others come in after at most 4096 parts
+    And all bytes are parsed in their order
+
+  Scenario: an input of few parts is parsed at once
+    Given 1 connections that receive 250000 bytes of 65536-byte parts each
+    Then all bytes are parsed in their order, without a round of the loop
+
+  Scenario: an input that waits is parsed at the end of its connection
+    Given 1 connections that receive 250000 bytes of 1-byte parts each
+    When the connections end
+    Then all bytes are parsed in their order, without a round of the loop
+
+  Scenario: an input that is dropped does not hold up the others
+    Given 20 connections that receive 250000 bytes of 1-byte parts each
+    When half of the connections drop their input
+    Then the others are parsed in their order
