Memory: the largest body that a configuration usually allows has room at 200 MB

An upload of up to 64 MiB was accepted whatever the memory of the VM is; with the new budget it was refused from 60 MiB on where 200 MB are allowed.

--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -27,7 +27,7 @@
 KB = 1024
 MB = 1024 * 1024
 
-PROGRAM_BYTES = 64 * MB
+PROGRAM_BYTES = 60 * MB
 """Memory of the program itself, with its tables and connections."""
 
 COPIES = 2
@@ -44,7 +44,7 @@
 SMALL_BYTES = 64 * KB
 """Size up to which a body is small."""
 
-LARGE_SHARE = 7 / 8
+LARGE_SHARE = 15 / 16
 """Share of the budget that large bodies may use, so that small ones pass."""
 
 
