Connections between nodes: bodies wait until the other node has read

What callers saw: nothing by itself.

Cause: sending never waited. A call of up to 1 MiB goes in one message and needs no window, and each stream has a window of its own.

A body waits while more than 256 KiB are unsent, until most of that is; one up to 16 KiB waits above 4 MiB only, and messages without a body never. The connection wakes those that wait one by one, in order, and all of them as it ends or takes no more calls. A call gets its number after it has waited, as a closing node names the last call that it took; after half of its time it is refused, overloaded and not run, so that it goes to another node.

A step of the closing tests waited until a node had put all answers into its buffer while the other one did not read. That no longer comes to pass for large ones: it now waits until the calls have ended or wait for that node. What is asked of the stop, at most 3 s and whole answers, is unchanged.

--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -3,23 +3,42 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import time
 import tracemalloc
 import typing
 
 import behave
 
+from pomelobend import calls as call_values
+from pomelobend import clock as clocks
+from pomelobend import errors
+from pomelobend.membership import member as members
+from pomelobend.peers import callee as callees
+from pomelobend.peers import caller as peer_callers
 from pomelobend.peers import link as links
 from pomelobend.peers import messages
 from pomelobend.peers import options
 from pomelobend.peers import stream as streams
+from pomelobend.routing import call as call_module
+from pomelobend.routing import target_stats
 from standins import fleet
+from tests.steps import test_peers_closing as closing_steps
 from tests.steps import test_peers_pool as pool_steps
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 KIB = 1024
 MIB = 1024 * 1024
 CALL = 1
 SETTLE_S = 0.5
 DEADLINE_S = 10.0
+SMALL_BYTES = 100
+BUFFER_BYTES = 16 * KIB
+SLOW_PAUSE_S = 0.02
+SLOW_READ_S = 0.002
 
 
 class CountingConnection:
@@ -32,6 +51,9 @@
         """Count the body of a message."""
         self.sent_bytes += len(message.body)
 
+    async def until_writable(self, size: int) -> None:
+        """Wait for nothing, as no data is buffered."""
+
 
 @behave.when('a body of {size:d} MiB is split into parts and these are sent')
 def when_split(context: typing.Any, size: int) -> None:
@@ -111,3 +133,318 @@
 
     found = context.run(act())
     assert found == context.sent, len(found)
+
+
+class Guard:
+    """A target that answers each call as its path says."""
+
+    free = 1
+    wait_ms = 0
+
+    def __init__(self) -> None:
+        self.requests: list[int] = []
+
+    async def run(self, call: typing.Any) -> call_values.Answer:
+        """Read the body of a call; answer with as many bytes as it asks."""
+        start, rest = call
+        size = len(start.body)
+        if rest is not None:
+            size = sum([len(part) async for part in rest])
+        self.requests.append(size)
+        body = bytes(int(start.path.rpartition(b'/')[2]))
+        return call_values.Answer(200, [], body)
+
+
+async def parts_of(size: int) -> abc.AsyncIterator[bytes]:
+    """Yield a body in parts."""
+    for _ in range(size // streams.PART_BYTES):
+        yield bytes(streams.PART_BYTES)
+
+
+async def send_sized(
+    context: typing.Any,
+    request_size: int,
+    answer_size: int,
+    deadline_s: float = DEADLINE_S,
+    *,
+    is_streamed: bool = False,
+) -> errors.CallRefusedError | int:
+    """Send a call; return the size of its answer, or its refusal."""
+    clock = clocks.SystemClock()
+    call = call_module.Call(
+        route_name='booking',
+        service='tonabok',
+        method='POST',
+        path=b'/%d' % answer_size,
+        headers=[],
+        started=clock.monotonic(),
+        deadline=clock.monotonic() + deadline_s,
+        is_idempotent=False,
+        priority=1,
+        objective_ms=1000,
+    )
+    if is_streamed:
+        call.remaining_body = parts_of(request_size)
+    else:
+        call.body = bytes(request_size)
+    caller = peer_callers.Caller(context.dialling, clock)
+    address = context.accepting.hello.address
+    member = members.Member('n2', 1, 0, 'vik', address)
+    try:
+        answer = await caller.call(call, member, target_stats.TargetStats(1))
+        size = len(answer.body)
+        if answer.remaining_body is not None:
+            size += sum([len(part) async for part in answer.remaining_body])
+    except errors.CallRefusedError as refusal:
+        return refusal
+    except errors.AnswerBrokenError as error:
+        return errors.CallRefusedError(
+            errors.Reason.PEER_LOST, errors.Run.UNKNOWN, str(error)
+        )
+    return size
+
+
+@behave.given('two nodes that call each other over one connection')
+def given_nodes(context: typing.Any) -> None:
+    closing_steps.given_nodes(context)
+    limit_buffers(context)
+    context.guard = Guard()
+    context.accepting.handler = callees.Callee(
+        context.guard,
+        lambda start, stream: (start, callees.remaining_body(start, stream)),
+    )
+    context.accepted.handler = context.accepting.handler
+
+
+def limit_buffers(context: typing.Any) -> None:
+    """Make the kernel hold little of what the nodes send to each other."""
+    for connection in (context.first, context.accepted):
+        transport = closing_steps.transport_of(connection)
+        sock = transport.get_extra_info('socket')
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+
+
+def size_of(text: str) -> int:
+    """Return a size that is given with its unit."""
+    number, unit = text.split()
+    return int(number) * {'KiB': KIB, 'MiB': MIB}[unit]
+
+
+def start_calls(
+    context: typing.Any,
+    kind: str,
+    size: str,
+    count: int,
+    deadline_s: float = DEADLINE_S,
+) -> None:
+    """Start calls, and note which end of the connection reads slowly."""
+    context.size = size_of(size)
+    is_answer = kind == 'answers'
+    context.reader = context.first if is_answer else context.accepted
+    context.writer = context.accepted if is_answer else context.first
+    request_size = 0 if is_answer else context.size
+    context.answer_size = context.size if is_answer else SMALL_BYTES
+    context.calls = [
+        asyncio.create_task(
+            send_sized(
+                context,
+                request_size,
+                context.answer_size,
+                deadline_s,
+                is_streamed=kind == 'uploads',
+            )
+        )
+        for _ in range(count)
+    ]
+    for task in context.calls:
+        context.stack.callback(task.cancel)
+
+
+@behave.when(
+    'the node that reads {kind:w} of {size} is held up as {count:d} calls are '
+    'sent'
+)
+def when_held_up(
+    context: typing.Any, kind: str, size: str, count: int
+) -> None:
+    hold_up(context, kind, size, count, DEADLINE_S)
+
+
+@behave.when(
+    'the node that reads {kind:w} of {size} is held up as {count:d} calls of '
+    '{deadline_s:d} s are sent'
+)
+def when_held_up_calls(
+    context: typing.Any, kind: str, size: str, count: int, deadline_s: int
+) -> None:
+    hold_up(context, kind, size, count, deadline_s)
+
+
+def hold_up(
+    context: typing.Any, kind: str, size: str, count: int, deadline_s: float
+) -> None:
+    """Start calls between two nodes one of which does not read."""
+
+    async def act() -> None:
+        context.began_at = time.monotonic()
+        start_calls(context, kind, size, count, deadline_s)
+        closing_steps.transport_of(context.reader).pause_reading()
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.when(
+    'the node that reads {kind:w} of {size} is slow as {count:d} calls are '
+    'sent'
+)
+def when_slow(context: typing.Any, kind: str, size: str, count: int) -> None:
+    async def read_slowly() -> None:
+        transport = closing_steps.transport_of(context.reader)
+        while True:
+            transport.pause_reading()
+            await asyncio.sleep(SLOW_PAUSE_S)
+            transport.resume_reading()
+            await asyncio.sleep(SLOW_READ_S)
+
+    async def act() -> None:
+        start_calls(context, kind, size, count)
+        context.slow = asyncio.create_task(read_slowly())
+        await asyncio.sleep(0)
+
+    context.run(act())
+
+
+@behave.then(
+    '{count:d} small calls beside them are answered within {most_s:g} s each'
+)
+def then_small(context: typing.Any, count: int, most_s: float) -> None:
+    async def act() -> None:
+        for _ in range(count):
+            async with asyncio.timeout(most_s):
+                size = await send_sized(context, SMALL_BYTES, SMALL_BYTES)
+            assert size == SMALL_BYTES, repr(size)
+
+    context.run(act())
+
+
+@behave.then('at most {most:d} KiB are unsent')
+def then_unsent(context: typing.Any, most: int) -> None:
+    unsent = context.writer.link.unsent_bytes
+    assert unsent <= most * KIB, unsent
+    assert not any(task.done() for task in context.calls)
+
+
+@behave.when('it goes on')
+def when_goes_on(context: typing.Any) -> None:
+    async def act() -> None:
+        if 'slow' in context:
+            context.slow.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await context.slow
+        closing_steps.transport_of(context.reader).resume_reading()
+
+    context.run(act())
+
+
+@behave.then('all calls are answered with their whole bodies')
+def then_all_answered(context: typing.Any) -> None:
+    check_answered(context, context.calls)
+
+
+@behave.then('the other calls are answered with their whole bodies')
+def then_others_answered(context: typing.Any) -> None:
+    check_answered(context, context.calls[1::2])
+
+
+def check_answered(context: typing.Any, tasks: list[asyncio.Task]) -> None:
+    """Check that calls get their answers."""
+    found = context.run(asyncio.wait_for(asyncio.gather(*tasks), DEADLINE_S))
+    wrong = [answer for answer in found if answer != context.answer_size]
+    assert not wrong, f'{len(wrong)} of {len(found)}: {wrong[0]!r}'
+    if context.writer is context.first:
+        assert set(context.guard.requests) == {context.size}
+
+
+@behave.then('no body waits for the connection')
+def then_none_waits(context: typing.Any) -> None:
+    async def act() -> None:
+        for connection in (context.first, context.accepted):
+            await pool_steps.until(
+                lambda connection=connection: (
+                    not connection.writers and not connection.serving
+                )
+            )
+
+    context.run(act())
+
+
+@behave.then(
+    'all calls but the few that were sent are refused as not run within '
+    '{most_s:g} s'
+)
+def then_refused(context: typing.Any, most_s: float) -> None:
+    async def act() -> None:
+        end = context.began_at + most_s
+        _, pending = await asyncio.wait(
+            context.calls, timeout=end - time.monotonic()
+        )
+        assert len(pending) <= 2, len(pending)
+
+    context.run(act())
+    refusals = [task.result() for task in context.calls if task.done()]
+    for refusal in refusals:
+        assert refusal.run is errors.Run.NOT_RUN, repr(refusal)
+        assert refusal.reason is errors.Reason.OVERLOADED, repr(refusal)
+    when_goes_on(context)
+
+
+@behave.when('the connection ends')
+def when_ends(context: typing.Any) -> None:
+    async def act() -> None:
+        context.first.link.abort()
+
+    context.run(act())
+
+
+@behave.when('the connection is given up')
+def when_given_up(context: typing.Any) -> None:
+    async def act() -> None:
+        context.writer.finishes_at = context.writer.clock.monotonic()
+        context.writer._give_up()
+
+    context.run(act())
+
+
+@behave.when('all calls are cancelled')
+def when_all_cancelled(context: typing.Any) -> None:
+    cancel(context, context.calls)
+
+
+@behave.when('every second of the calls is cancelled')
+def when_some_cancelled(context: typing.Any) -> None:
+    cancel(context, context.calls[::2])
+
+
+def cancel(context: typing.Any, tasks: list[asyncio.Task]) -> None:
+    """Cancel calls and let the node of the target learn of it."""
+
+    async def act() -> None:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+    context.run(act())
+
+
+@behave.then('all calls end within {most_s:g} s')
+def then_end(context: typing.Any, most_s: float) -> None:
+    async def act() -> None:
+        _, pending = await asyncio.wait(context.calls, timeout=most_s)
+        assert not pending, len(pending)
+
+    context.run(act())
+    if context.reader.is_closed or context.writer.is_closed:
+        return
+    when_goes_on(context)
