Server: bodies of requests draw from the budget of the node

What callers saw: their calls ended with a node that was killed for its memory. Cause: bodies that are being received were limited to 128 MiB whatever the memory of the VM is, and were forgotten once they were whole: while their calls wait or are at work nobody counted them. A body that was whole was copied, so that it was in memory twice. Change: a body has a holding from its first byte until its request was answered, including a call that goes on without its caller. One that the budget gives up is refused with 503, Connection: close and Retry-After; one for which there is never room with 413, before it is read where its length is known. The limit of the scenario in slow_senders is given as a budget; its bodies are larger, as bodies of up to 64 KiB are not given up for others. Remains: an answer as large as its request has no room beside whole requests that fill the budget.

--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import collections
+import io
+import typing
 
 import attrs
 
 from pomelobend import errors
 from pomelobend.http import message
 
+if typing.TYPE_CHECKING:
+    from pomelobend.memory import budget as budgets
+
 
 @attrs.define(eq=False)
 class Incoming:
@@ -18,8 +23,13 @@
     ----------
     began_at, byte_at : float
         When its first bytes came, and when its last ones were read.
+    size : int
+        Size of its head.
     unparsed_size : int
         Size of the parts that came before the end of its head.
+    body_size : int
+    holding : Holding or None
+        The bytes of its body, if it has one.
     is_overdue : bool
         Whether its time has ended, and what waits in the kernel is read.
     """
@@ -31,9 +41,32 @@
     size: int = 0
     unparsed_size: int = 0
     has_head: bool = False
-    body: bytearray = attrs.field(factory=bytearray)
+    body: io.BytesIO = attrs.field(factory=io.BytesIO)
+    body_size: int = 0
+    holding: budgets.Holding | None = None
     is_overdue: bool = False
 
+    def add(self, part: bytes) -> None:
+        """Store a part of the body, whose bytes are held.
+
+        Raises
+        ------
+        errors.RequestMalformedError
+            The body was given up, as its memory is needed for others.
+        """
+        try:
+            self.holding.grow(len(part))
+        except errors.MemoryFullError as error:
+            raise errors.RequestMalformedError(503, str(error)) from error
+        self.body.write(part)
+        self.body_size += len(part)
+
+    def drop(self) -> None:
+        """Free the bytes of a body that is not needed."""
+        self.body.close()
+        if self.holding is not None:
+            self.holding.release()
+
     def check_framing(self) -> None:
         """Reject a head that two HTTP parsers could interpret differently.
 
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -20,6 +20,7 @@
 from pomelobend import errors
 from pomelobend.http import message
 from pomelobend.http import server as servers
+from pomelobend.memory import budget as budgets
 from pomelobend.platform import headers as wire
 from pomelobend.routing import deadlines
 from pomelobend.routing import retry_after
@@ -202,6 +203,7 @@
         clock,
         front.answer,
         socket=sockets[settings.callers_address],
+        budget=budgets.Budget.of_node(settings.memory_mb * budgets.MB),
         listening_since=listening_since,
     )
     await server.listen()
--- /dev/null
+++ b/tests/http/test_http_memory.feature
@@ -0,0 +1,68 @@
+Feature: http server with bounded memory
+
+  # Guards against uploads that together fill the memory of the node.
+  Scenario Outline: uploads above the budget are refused, small ones are not, <loop>
+    Given an HTTP server with a budget of 4 MB
+    When 8 callers have sent 990 KB of 1000 KB each and 40 small requests come
+    Then the small requests are answered with 200
+    When the 8 callers send the rest
+    Then 3 of them are answered with 200 and the others with 503 and a time to retry
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  # Guards against bodies that are forgotten once they are whole.
+  Scenario: bodies are held until their requests were answered
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When 3 callers have sent 1000 KB each
+    And another caller sends 1000 KB
+    Then it is answered with 503
+    When the server answers
+    And another caller sends 1000 KB
+    Then it is answered with 200
+    And the server holds nothing
+
+  Scenario Outline: a body for which there is never room is refused at once, <coding>
+    Given an HTTP server with a budget of 4 MB
+    When a caller sends the first 4000 KB of a body of 4050 KB <coding>
+    Then it is answered with 413
+    And the server holds nothing
+
+    Examples:
+      | coding        |
+      | with a length |
+      | in chunks     |
+
+  Scenario Outline: the server holds nothing for callers that have left, <loop>
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When a caller leaves after 2 requests of 500 KB and a part of another one
+    Then the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  Scenario: a body is in memory once
+    Given an HTTP server with a budget of 40 MB
+    When a caller sends a body of 16 MB
+    Then the peak of the memory was less than 1.5 times the body
+
+  # Guards against calls that go on without their caller, and are not counted.
+  Scenario: the body of a call that goes on without its caller is held
+    Given a call that is not idempotent with a body of 100 KB
+    When its caller leaves
+    Then its body is held
+    When the call ends
+    Then the server holds nothing
--- a/tests/http/test_http_slow_senders.feature
+++ b/tests/http/test_http_slow_senders.feature
@@ -29,8 +29,8 @@
 
   Scenario: bodies that are being received have bounded memory
     Given an HTTP server that gives a head 0.4 s and a pause in a body 0.6 s
-    And memory for 6000 bytes of bodies that are being received
-    When parts of 3500, 1000 and 2000 bytes of three bodies arrive
+    And memory for 600000 bytes of bodies that are being received
+    When parts of 350000, 100000 and 200000 bytes of three bodies arrive
     Then the first one is answered with 503 and the others with 200
 
   Scenario: a head that does not end has bounded memory
--- /dev/null
+++ b/tests/steps/test_http_memory.py
@@ -0,0 +1,424 @@
+"""Steps for the memory of the HTTP server."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import gc
+import tracemalloc
+import typing
+
+import attrs
+import behave
+
+from pomelobend import calls
+from pomelobend import clock as clocks
+from pomelobend.http import message
+from pomelobend.http import server as servers
+from pomelobend.memory import budget as budgets
+from pomelobend.mesh import front as fronts
+from pomelobend.mesh import grace as graces
+from pomelobend.metrics import counters as counter_module
+from pomelobend.routing import call as call_module
+from pomelobend.routing import table as tables
+from standins import fleet
+from tests.steps import test_http_server as server_steps
+
+KB = 1024
+MB = 1024 * KB
+PART = b'x' * 64 * KB
+MAX_S = 10.0
+
+
+@attrs.define(eq=False)
+class Handler:
+    """Replies with status 200, once it may.
+
+    Parameters
+    ----------
+    may_answer : asyncio.Event
+    received : int
+        Number of requests that came.
+    """
+
+    may_answer: asyncio.Event
+    received: int = 0
+
+    async def answer(self, request: message.Request) -> message.Reply:
+        """Answer a request."""
+        self.received += 1
+        await self.may_answer.wait()
+        return message.Reply(200)
+
+
+@attrs.define(eq=False)
+class Delivery:
+    """Delivers calls without a target: each ends once it may."""
+
+    may_answer: asyncio.Event
+    calls: list[call_module.Call] = attrs.field(factory=list)
+
+    async def deliver(self, call: call_module.Call) -> calls.Answer:
+        """Answer a call."""
+        self.calls.append(call)
+        await self.may_answer.wait()
+        return calls.Answer(200, [], b'')
+
+
+@attrs.define(eq=False)
+class State:
+    """A configuration with one route."""
+
+    table: typing.Any
+    version: int = 1
+
+
+@attrs.define(eq=False)
+class Table:
+    """A route table that finds the same route for all requests."""
+
+    route: tables.Route
+
+    def find(self, host: str, target: bytes) -> tables.Route:
+        """Return the route of a request."""
+        return self.route
+
+
+def start_server(
+    context: typing.Any, answer: typing.Any, max_bytes: int
+) -> None:
+    """Start an HTTP server with a budget."""
+    (context.port,) = fleet.free_ports(1)
+
+    async def start() -> None:
+        context.server = servers.Server(
+            f'127.0.0.1:{context.port}',
+            clocks.SystemClock(),
+            answer,
+            servers.Bounds(16 * KB, 64 * MB, 5.0, 30.0),
+            budget=budgets.Budget(max_bytes),
+        )
+        await context.server.listen()
+        context.stack.callback(context.server.stop_listening)
+
+    context.run(start())
+
+
+@behave.given('an HTTP server with a budget of {size:d} MB')
+def given_server(context: typing.Any, size: int) -> None:
+    given_silent_server(context, size)
+    context.may_answer.set()
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB that does not answer yet'
+)
+def given_silent_server(context: typing.Any, size: int) -> None:
+    context.may_answer = asyncio.Event()
+    context.handler = Handler(context.may_answer)
+    start_server(context, context.handler.answer, size * MB)
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A caller that sends a body with a length.
+
+    Parameters
+    ----------
+    status : int
+    head : bytes
+        The head of the reply.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    head: bytes = b''
+
+    @classmethod
+    async def open(cls, context: typing.Any) -> Caller:
+        """Connect to the server."""
+        caller = cls(*await server_steps.connect(context))
+        context.stack.callback(caller.writer.transport.abort)
+        return caller
+
+    async def send_head(self, size: int) -> None:
+        """Send the head of a request with a body of a size."""
+        await self.send(
+            b'POST /a/ HTTP/1.1\r\n%bContent-Length: %d\r\n\r\n'
+            % (server_steps.HOST, size)
+        )
+
+    async def send_body(self, size: int) -> None:
+        """Send a part of a body."""
+        for start in range(0, size, len(PART)):
+            await self.send(PART[: size - start])
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes, unless the server has closed the connection."""
+        try:
+            self.writer.write(data)
+            await self.writer.drain()
+        except ConnectionError as error:
+            self.head = self.head or repr(error).encode()
+
+    async def read_reply(self) -> int:
+        """Read the head of a reply and return its status."""
+        async with asyncio.timeout(MAX_S):
+            self.head = await self.reader.readuntil(b'\r\n\r\n')
+        return int(self.head.split()[1])
+
+
+async def until(condition: typing.Callable[[], bool]) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+    """
+    async with asyncio.timeout(MAX_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@behave.when(
+    '{count:d} callers have sent {part:d} KB of {size:d} KB each and {small:d}'
+    ' small requests come'
+)
+def when_uploads(
+    context: typing.Any, count: int, part: int, size: int, small: int
+) -> None:
+    context.rest_bytes = (size - part) * KB
+
+    async def act() -> None:
+        context.callers = [await Caller.open(context) for _ in range(count)]
+        for caller in context.callers:
+            await caller.send_head(size * KB)
+            await caller.send_body(part * KB)
+            await asyncio.sleep(0.05)
+        context.statuses = []
+        for _ in range(small):
+            caller = await Caller.open(context)
+            await caller.send_head(KB)
+            await caller.send_body(KB)
+            context.statuses.append(await caller.read_reply())
+
+    context.run(act())
+
+
+@behave.then('the small requests are answered with {status:d}')
+def then_small(context: typing.Any, status: int) -> None:
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@behave.when('the {count:d} callers send the rest')
+def when_rest(context: typing.Any, count: int) -> None:
+    async def act() -> None:
+        for caller in context.callers:
+            await caller.send_body(context.rest_bytes)
+        context.statuses = [await c.read_reply() for c in context.callers]
+
+    assert len(context.callers) == count
+    context.run(act())
+
+
+@behave.then(
+    '{count:d} of them are answered with 200 and the others with 503 and a'
+    ' time to retry'
+)
+def then_some(context: typing.Any, count: int) -> None:
+    others = len(context.statuses) - count
+    expected = [200] * count + [503] * others
+    assert sorted(context.statuses) == expected, context.statuses
+    for caller in context.callers:
+        head = caller.head.lower()
+        if head.startswith(b'http/1.1 503 '):
+            assert b'\r\nconnection: close\r\n' in head, head
+            assert b'\r\nretry-after: 1\r\n' in head, head
+
+
+@behave.then('the server holds nothing')
+def then_free(context: typing.Any) -> None:
+    budget = context.server.budget
+
+    async def act() -> None:
+        gc.disable()
+        try:
+            await until(lambda: not budget.used_bytes)
+        finally:
+            gc.enable()
+
+    context.run(act())
+    assert not any(budget.by_place.values()), budget.by_place
+
+
+@behave.when('{count:d} callers have sent {size:d} KB each')
+def when_sent(context: typing.Any, count: int, size: int) -> None:
+    async def act() -> None:
+        context.callers = [await Caller.open(context) for _ in range(count)]
+        for caller in context.callers:
+            await caller.send_head(size * KB)
+            await caller.send_body(size * KB)
+        await until(lambda: context.handler.received == count)
+
+    context.run(act())
+
+
+@behave.when('another caller sends {size:d} KB')
+def when_another(context: typing.Any, size: int) -> None:
+    received = context.handler.received
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send_head(size * KB)
+        await context.caller.send_body(size * KB)
+        reading = asyncio.create_task(context.caller.read_reply())
+        await until(
+            lambda: reading.done() or context.handler.received > received
+        )
+        await asyncio.wait([reading], timeout=1.0)
+        context.status = reading.result() if reading.done() else None
+        reading.cancel()
+
+    context.run(act())
+
+
+@behave.then('it is answered with {status:d}')
+def then_status(context: typing.Any, status: int) -> None:
+    assert context.status == status, context.status
+    is_closed = b'\r\nconnection: close\r\n' in context.caller.head.lower()
+    assert is_closed == (status != 200), context.caller.head
+
+
+@behave.when('the server answers')
+def when_answers(context: typing.Any) -> None:
+    context.run(_set(context.may_answer))
+
+
+async def _set(event: asyncio.Event) -> None:
+    event.set()
+    await asyncio.sleep(0.1)
+
+
+@behave.when(
+    'a caller sends the first {part:d} KB of a body of {size:d} KB {coding}'
+)
+def when_too_large(
+    context: typing.Any, part: int, size: int, coding: str
+) -> None:
+    async def act() -> None:
+        context.caller = caller = await Caller.open(context)
+        if coding == 'with a length':
+            await caller.send_head(size * KB)
+        else:
+            await caller.send(
+                b'POST /a/ HTTP/1.1\r\n%bTransfer-Encoding: chunked\r\n\r\n'
+                b'%x\r\n' % (server_steps.HOST, size * KB)
+            )
+            await caller.send_body(part * KB)
+        context.status = await caller.read_reply()
+
+    context.run(act())
+
+
+@behave.when(
+    'a caller leaves after {count:d} requests of {size:d} KB and a part of'
+    ' another one'
+)
+def when_leaves(context: typing.Any, count: int, size: int) -> None:
+    budget = context.server.budget
+
+    async def act() -> None:
+        caller = await Caller.open(context)
+        for _ in range(count):
+            await caller.send_head(size * KB)
+            await caller.send_body(size * KB)
+        await caller.send_head(size * KB)
+        await caller.send_body(size * KB // 2)
+        await until(lambda: budget.used_bytes > count * size * KB)
+        caller.writer.transport.abort()
+
+    context.run(act())
+
+
+@behave.when('a caller sends a body of {size:d} MB')
+def when_large(context: typing.Any, size: int) -> None:
+    async def act() -> None:
+        caller = await Caller.open(context)
+        await caller.send_head(size * MB)
+        gc.collect()
+        tracemalloc.start()
+        try:
+            await caller.send_body(size * MB)
+            context.status = await caller.read_reply()
+            _, context.peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.run(act())
+    context.body_bytes = size * MB
+    assert context.status == 200, context.status
+
+
+@behave.then('the peak of the memory was less than {factor:f} times the body')
+def then_peak(context: typing.Any, factor: float) -> None:
+    share = context.peak_bytes / context.body_bytes
+    assert share < factor, share
+
+
+@behave.given('a call that is not idempotent with a body of {size:d} KB')
+def given_call(context: typing.Any, size: int) -> None:
+    context.may_answer = asyncio.Event()
+    context.delivery = Delivery(context.may_answer)
+    clock = clocks.SystemClock()
+    route = tables.Route(
+        'a',
+        'a.example',
+        b'/',
+        (tables.WeightedService('a', 1.0),),
+        is_idempotent=False,
+        timeout=datetime.timedelta(seconds=30),
+        objective=datetime.timedelta(seconds=1),
+        attempts=1,
+        priority=0,
+    )
+    front = fronts.Front(
+        'b',
+        clock,
+        State(Table(route)),
+        context.delivery,
+        counter_module.Counters(),
+        None,
+        graces.Grace(clock),
+    )
+    start_server(context, front.answer, 4 * MB)
+    context.body_bytes = size * KB
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send_head(size * KB)
+        await context.caller.send_body(size * KB)
+        await until(lambda: len(context.delivery.calls) == 1)
+
+    context.run(act())
+
+
+@behave.when('its caller leaves')
+def when_caller_leaves(context: typing.Any) -> None:
+    async def act() -> None:
+        context.caller.writer.transport.abort()
+        await until(lambda: not context.server.connections)
+        await asyncio.sleep(0.1)
+
+    context.run(act())
+
+
+@behave.then('its body is held')
+def then_held(context: typing.Any) -> None:
+    held = context.server.budget.by_place[budgets.Place.REQUESTS]
+    assert held == context.body_bytes, held
+
+
+@behave.when('the call ends')
+def when_ends(context: typing.Any) -> None:
+    context.delivery.calls.clear()
+    context.run(_set(context.may_answer))
--- a/tests/steps/test_http_slow_senders.py
+++ b/tests/steps/test_http_slow_senders.py
@@ -13,6 +13,7 @@
 
 from pomelobend import clock as clocks
 from pomelobend.http import server as servers
+from pomelobend.memory import budget as budgets
 from standins import fleet
 from tests.steps import test_http_server as server_steps
 
@@ -86,7 +87,8 @@
 
 @behave.given('memory for {size:d} bytes of bodies that are being received')
 def given_memory(context: typing.Any, size: int) -> None:
-    context.server.bodies.max_bytes = size
+    context.server.budget = budgets.Budget(size)
+    context.server.bounds.body_bytes = size
 
 
 @behave.when('a body arrives in {count:d} parts with pauses of {pause_s:f} s')
@@ -144,7 +146,7 @@
 def then_largest(context: typing.Any) -> None:
     codes = [int(answer.split()[1]) for answer in context.answers]
     assert codes == [503, 200, 200], context.answers
-    assert context.server.bodies.used_bytes == 0
+    assert context.server.budget.used_bytes == 0
 
 
 @behave.when('{heads:d} heads and {bodies:d} bodies stop half-way')
@@ -183,4 +185,4 @@
     replies = context.run(act())
     given_up = [r for r in replies if r.startswith(b'HTTP/1.1 408 ')]
     assert len(given_up) == count, (len(given_up), set(replies))
-    assert context.server.bodies.used_bytes == 0
+    assert context.server.budget.used_bytes == 0
