Answers without end: what was given up frees its memory at once

Cause: the error of a body that was given up kept its frame, and that the parts of the body. Error and frame refer to each other, so that all of it stayed until the garbage collector came by, which counts objects, not bytes. Without the collector 30 answers in sequence with a limit of 4 MiB took 68 MB more on (chunks of 9 bytes; 1 of 3 kinds failed). Change: a body that is not passed on closes its buffer and gives its bytes back whatever ends it. Before a body is given up, garbage is collected, once for as many bytes as have room, as calls in cycles hold bodies too.

--- a/pomelobend/memory/bodies.py
+++ b/pomelobend/memory/bodies.py
@@ -66,20 +66,36 @@
 
     holding = budget.open(budgets.Place.ANSWERS, give_up)
     try:
-        async with contextlib.aclosing(parts):
-            _add(holding, buffer, first)
-            async for part in parts:
-                _add(holding, buffer, part)
+        await _fill(buffer, holding, parts, first)
     except errors.MemoryFullError as error:
         raise errors.AnswerBrokenError(str(error)) from error
     finally:
-        holding.on_give_up = None
-    if holding.is_given_up:
-        raise errors.AnswerBrokenError('its memory was needed for others')
-    holding.complete()
+        if holding.is_growing:
+            holding.release()
+            buffer.close()
     return Body(buffer.getvalue(), holding)
 
 
+async def _fill(
+    buffer: io.BytesIO,
+    holding: budgets.Holding,
+    parts: abc.AsyncGenerator[bytes],
+    first: bytes,
+) -> None:
+    """Collect the parts of a body until it is whole.
+
+    Raises
+    ------
+    errors.MemoryFullError
+    """
+    async with contextlib.aclosing(parts):
+        _add(holding, buffer, first)
+        async for part in parts:
+            _add(holding, buffer, part)
+    holding.grow(0)
+    holding.complete()
+
+
 def _add(holding: budgets.Holding, buffer: io.BytesIO, part: bytes) -> None:
     holding.grow(len(part))
     buffer.write(part)
--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -11,6 +11,7 @@
 
 import collections
 import enum
+import gc
 import typing
 import weakref
 
@@ -113,6 +114,7 @@
 
     def release(self) -> None:
         """Free the bytes."""
+        self.on_give_up = None
         self.budget.free(self)
 
     def __del__(self) -> None:
@@ -133,6 +135,12 @@
         The used bytes.
     given_up : Counter of Place
         Number of bodies that were given up.
+    collect_garbage : callable
+        Frees what calls that failed have left in reference cycles, such as
+        those of errors and the frames in their tracebacks. The interpreter
+        does so by the number of objects, not by their size.
+    taken_bytes : int
+        Bytes that were taken since then.
     """
 
     max_bytes: int = UNKNOWN_BYTES
@@ -144,6 +152,8 @@
         factory=collections.Counter
     )
     holdings: weakref.WeakSet[Holding] = attrs.field(factory=weakref.WeakSet)
+    collect_garbage: abc.Callable[[], object] = gc.collect
+    taken_bytes: int = 0
 
     @classmethod
     def of_node(cls, memory_bytes: int | None) -> Budget:
@@ -187,6 +197,8 @@
         also displace one that is whole, if its receiver doesn't take it.
         """
         self._add(holding, size)
+        if not self._has_room(holding):
+            self._reclaim()
         while not self._has_room(holding) and not holding.is_given_up:
             self._give_up(self._victim(holding))
 
@@ -202,8 +214,15 @@
         self.by_place[holding.place] -= holding.size
         holding.size = 0
 
+    def _reclaim(self) -> None:
+        """Collect garbage, at most once for as many bytes as have room."""
+        if self.taken_bytes >= self.large_bytes:
+            self.taken_bytes = 0
+            self.collect_garbage()
+
     def _add(self, holding: Holding, size: int) -> None:
         holding.size += size
+        self.taken_bytes += size
         self.used_bytes += size
         self.by_place[holding.place] += size
 
--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -42,3 +42,10 @@
   Scenario: the budget holds for any course of bodies
     When bodies grow, become whole, are moved, released and dropped at random
     Then the budget is never exceeded, and its sums are those of the bodies
+
+  # Guards against bodies of failed calls that nobody needs and that take the
+  # room of others until the garbage collector comes by.
+  Scenario: bodies in reference cycles are freed before others are given up
+    Given a budget of 16 MB that bodies in reference cycles fill
+    When a body grows to 8 MB
+    Then it is not given up
--- a/tests/steps/test_memory_budget.py
+++ b/tests/steps/test_memory_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import typing
 
 import behave
@@ -68,6 +69,22 @@
     ]
 
 
+@behave.given('a budget of {size:d} MB that bodies in reference cycles fill')
+def given_cycles(context: typing.Any, size: int) -> None:
+    context.budget = budgets.Budget(size * MB)
+    gc.disable()
+    context.stack.callback(gc.enable)
+    for _ in range(size):
+        cycle = [_received(context.budget, MB - 64 * KB, is_whole=True)]
+        cycle.append(cycle)
+        del cycle
+
+
+@behave.then('it is not given up')
+def then_not_given_up(context: typing.Any) -> None:
+    assert not context.body.is_given_up
+
+
 def _grow(holding: budgets.Holding, size: int) -> bool:
     """Let a body grow to a size; return whether it was given up."""
     try:
--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
 import re
 import typing
@@ -256,6 +257,22 @@
     context.held_bytes = peak_bytes - before
 
 
+@behave.when(
+    'the target gets {count:d} calls in sequence without the garbage collector'
+)
+def when_uncollected(context: typing.Any, count: int) -> None:
+    async def act() -> list[bytes | errors.Reason]:
+        return [await _send(context.client, n, 20.0) for n in range(count)]
+
+    gc.collect()
+    gc.disable()
+    context.stack.callback(gc.enable)
+    context.client.budget.collect_garbage = lambda: None
+    before = watch.resident_bytes()
+    context.outcomes, peak_bytes = context.run(_measured(act()))
+    context.held_bytes = peak_bytes - before
+
+
 async def _measured(
     work: typing.Coroutine[None, None, list],
 ) -> tuple[list, int]:
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -44,6 +44,20 @@
       | headers of 1 byte         |
       | a body until the close    |
 
+  # Guards against parts of a body that was given up, which its error keeps
+  # until the garbage collector comes by.
+  Scenario Outline: <what> that were given up take no memory
+    Given an answer with <what> without end
+    When the target gets 30 calls in sequence without the garbage collector
+    Then all of them end as lost
+    And at most 24 MiB were held for them at a time
+
+    Examples:
+      | what                      |
+      | chunks                    |
+      | chunks of 9 bytes         |
+      | a body until the close    |
+
   Scenario Outline: an answer of <size> bytes in chunks of <each> arrives whole
     Given an answer of <size> bytes in chunks of <each>
     When the target gets a call with a deadline of 20 s
