--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -66,3 +66,68 @@
     Then its body is held
     When the call ends
     Then the server holds nothing
+
+  # Guards against replies that nobody reads, and that nobody counts.
+  Scenario Outline: replies that callers do not read are held within the budget, <loop>
+    Given an HTTP server with a budget of 64 MB and replies of 12 MB
+    When 8 callers send a request each and do not read
+    Then the server holds 4 to 5 replies
+    And the connections of the others have ended
+    And a small request is answered with 200
+    When all callers leave
+    Then the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  Scenario Outline: a reply that nobody reads makes room for small bodies, <loop>
+    Given an HTTP server with a budget of 64 MB and replies of 12 MB
+    When 4 callers send a request each and do not read
+    And small bodies of 50 KB need 20 MB
+    Then the connection of a caller has ended, and the log says so
+    When all callers leave
+    Then the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  Scenario Outline: large replies arrive whole and in order, <loop>
+    Given an HTTP server with a budget of 64 MB and replies of 12 MB
+    When a caller sends 3 requests at once and reads slowly
+    Then it has received 3 whole replies, and at most 2 at a time were held
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  @uvloop
+  Scenario: a reply that waits for its caller is in memory once
+    Given an HTTP server with a budget of 64 MB and replies of 12 MB
+    When 1 caller sends a request and does not read
+    Then the memory grew by less than 0.1 times the reply
+
+  # Guards against an answer that is counted no more once it is a reply.
+  Scenario: an answer of a target is held until its caller has read it
+    Given a call with an answer of 12 MB
+    When its caller does not read
+    Then its answer is held as a reply
+    When its caller reads
+    Then the server holds nothing
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -5,11 +5,14 @@
 import asyncio
 import datetime
 import gc
+import socket
+import time
 import tracemalloc
 import typing
 
 import attrs
 import behave
+from structlog import testing
 
 from pomelobend import calls
 from pomelobend import clock as clocks
@@ -28,6 +31,7 @@
 MB = 1024 * KB
 PART = b'x' * 64 * KB
 MAX_S = 10.0
+RECEIVE_BYTES = 64 * KB
 
 
 @attrs.define(eq=False)
@@ -53,16 +57,29 @@
 
 @attrs.define(eq=False)
 class Delivery:
-    """Delivers calls without a target: each ends once it may."""
+    """Delivers calls without a target: each ends once it may.
+
+    Parameters
+    ----------
+    may_answer : asyncio.Event
+    answer_bytes : int
+    budget : Budget
+    """
 
     may_answer: asyncio.Event
+    answer_bytes: int = 0
+    budget: budgets.Budget | None = None
     calls: list[call_module.Call] = attrs.field(factory=list)
 
     async def deliver(self, call: call_module.Call) -> calls.Answer:
         """Answer a call."""
         self.calls.append(call)
         await self.may_answer.wait()
-        return calls.Answer(200, [], b'')
+        holding = self.budget.open(budgets.Place.ANSWERS)
+        holding.grow(self.answer_bytes)
+        holding.complete()
+        body = bytes(self.answer_bytes)
+        return calls.Answer(200, [], body, holding=holding)
 
 
 @attrs.define(eq=False)
@@ -367,8 +384,22 @@
 
 @behave.given('a call that is not idempotent with a body of {size:d} KB')
 def given_call(context: typing.Any, size: int) -> None:
+    start_front(context, 0)
+    context.body_bytes = size * KB
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send_head(size * KB)
+        await context.caller.send_body(size * KB)
+        await until(lambda: len(context.delivery.calls) == 1)
+
+    context.run(act())
+
+
+def start_front(context: typing.Any, answer_bytes: int) -> None:
+    """Start the front of a node whose targets answer with a size."""
     context.may_answer = asyncio.Event()
-    context.delivery = Delivery(context.may_answer)
+    context.delivery = Delivery(context.may_answer, answer_bytes)
     clock = clocks.SystemClock()
     route = tables.Route(
         'a',
@@ -390,16 +421,8 @@
         None,
         graces.Grace(clock),
     )
-    start_server(context, front.answer, 4 * MB)
-    context.body_bytes = size * KB
-
-    async def act() -> None:
-        context.caller = await Caller.open(context)
-        await context.caller.send_head(size * KB)
-        await context.caller.send_body(size * KB)
-        await until(lambda: len(context.delivery.calls) == 1)
-
-    context.run(act())
+    start_server(context, front.answer, 4 * MB + 2 * answer_bytes)
+    context.delivery.budget = context.server.budget
 
 
 @behave.when('its caller leaves')
@@ -422,3 +445,199 @@
 def when_ends(context: typing.Any) -> None:
     context.delivery.calls.clear()
     context.run(_set(context.may_answer))
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB and replies of {each:d} MB'
+)
+def given_replies(context: typing.Any, size: int, each: int) -> None:
+    context.reply_bytes = each * MB
+    context.logs = context.stack.enter_context(testing.capture_logs())
+
+    async def answer(request: message.Request) -> message.Reply:
+        body = b''
+        if request.target.startswith(b'/large/'):
+            body = request.target[-1:] * context.reply_bytes
+        return message.Reply(200, [], body)
+
+    start_server(context, answer, size * MB)
+
+
+def request(number: int) -> bytes:
+    """Return a request for a large reply with a number in it."""
+    return b'GET /large/%d HTTP/1.1\r\n%b\r\n' % (number, server_steps.HOST)
+
+
+def open_socket(context: typing.Any) -> socket.socket:
+    """Connect a socket with a small buffer, which is not read by itself."""
+    client = socket.socket()
+    context.stack.callback(client.close)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    client.settimeout(MAX_S)
+    client.connect(('127.0.0.1', context.port))
+    return client
+
+
+def replies(context: typing.Any) -> int:
+    """Return the bytes of replies that the server holds."""
+    return context.server.budget.by_place[budgets.Place.REPLIES]
+
+
+@behave.when('{count:d} callers send a request each and do not read')
+def when_unread(context: typing.Any, count: int) -> None:
+    async def act() -> None:
+        context.sockets = []
+        for _ in range(count):
+            client = await asyncio.to_thread(open_socket, context)
+            client.sendall(request(1))
+            context.sockets.append(client)
+            await asyncio.sleep(0.2)
+
+    context.count = count
+    context.run(act())
+
+
+@behave.then('the server holds {least:d} to {most:d} replies')
+def then_replies(context: typing.Any, least: int, most: int) -> None:
+    count, rest = divmod(replies(context), context.reply_bytes)
+    assert not rest, replies(context)
+    assert least <= count <= most, count
+    context.held = count
+
+
+@behave.then('the connections of the others have ended')
+def then_others_ended(context: typing.Any) -> None:
+    assert len(context.server.connections) == context.held
+
+
+@behave.then('a small request is answered with {status:d}')
+def then_small_answered(context: typing.Any, status: int) -> None:
+    async def act() -> int:
+        caller = await Caller.open(context)
+        await caller.send_head(KB)
+        await caller.send_body(KB)
+        return await caller.read_reply()
+
+    assert context.run(act()) == status
+
+
+@behave.when('all callers leave')
+def when_all_leave(context: typing.Any) -> None:
+    for client in context.sockets:
+        client.close()
+
+
+@behave.when('small bodies of {each:d} KB need {size:d} MB')
+def when_small_bodies(context: typing.Any, each: int, size: int) -> None:
+    budget = context.server.budget
+    context.small = [
+        budget.open(budgets.Place.REQUESTS) for _ in range(size * KB // each)
+    ]
+
+    async def act() -> None:
+        for holding in context.small:
+            holding.grow(each * KB)
+            holding.complete()
+        await until(lambda: len(context.server.connections) < context.count)
+
+    context.run(act())
+
+
+@behave.then('the connection of a caller has ended, and the log says so')
+def then_given_up(context: typing.Any) -> None:
+    assert len(context.server.connections) == context.count - 1
+    assert not any(holding.is_given_up for holding in context.small)
+    text = 'http: a reply is given up, as its caller does not read it'
+    assert [item for item in context.logs if item['event'] == text]
+    context.small.clear()
+
+
+@behave.when('a caller sends {count:d} requests at once and reads slowly')
+def when_slow(context: typing.Any, count: int) -> None:
+    client = open_socket(context)
+    context.most_held = 0
+
+    def read() -> bytes:
+        received = bytearray()
+        client.sendall(b''.join(request(n) for n in range(count)))
+        time.sleep(0.3)
+        while len(received) < count * context.reply_bytes:
+            received += client.recv(MB)
+            context.most_held = max(context.most_held, replies(context))
+        head_bytes = received.index(b'\r\n\r\n') + 4
+        while len(received) < count * (head_bytes + context.reply_bytes):
+            received += client.recv(MB)
+        return bytes(received)
+
+    context.received = context.run(asyncio.to_thread(read))
+
+
+@behave.then(
+    'it has received {count:d} whole replies, and at most {most:d} at a time'
+    ' were held'
+)
+def then_whole_replies(context: typing.Any, count: int, most: int) -> None:
+    parts = context.received.split(b'HTTP/1.1 200 OK\r\n')[1:]
+    bodies = [part.partition(b'\r\n\r\n')[2] for part in parts]
+    expected = [b'%d' % n * context.reply_bytes for n in range(count)]
+    assert bodies == expected, [len(body) for body in bodies]
+    assert 0 < context.most_held <= most * context.reply_bytes
+
+
+@behave.when('1 caller sends a request and does not read')
+def when_one_unread(context: typing.Any) -> None:
+    body = b'x' * context.reply_bytes
+    client = open_socket(context)
+
+    async def answer(request: message.Request) -> message.Reply:
+        return message.Reply(200, [], body)
+
+    async def act() -> None:
+        gc.collect()
+        tracemalloc.start()
+        try:
+            client.sendall(request(1))
+            await until(lambda: replies(context))
+            await asyncio.sleep(0.3)
+            _, context.peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.server.answer = answer
+    context.run(act())
+
+
+@behave.then('the memory grew by less than {share:f} times the reply')
+def then_growth(context: typing.Any, share: float) -> None:
+    assert context.peak_bytes < share * context.reply_bytes, context.peak_bytes
+
+
+@behave.given('a call with an answer of {size:d} MB')
+def given_answer(context: typing.Any, size: int) -> None:
+    context.reply_bytes = size * MB
+    start_front(context, size * MB)
+    context.may_answer.set()
+
+
+@behave.when('its caller does not read')
+def when_not_read(context: typing.Any) -> None:
+    context.socket = open_socket(context)
+    context.socket.sendall(request(1))
+    context.run(asyncio.sleep(0.5))
+
+
+@behave.then('its answer is held as a reply')
+def then_held_reply(context: typing.Any) -> None:
+    budget = context.server.budget
+    assert replies(context) == context.reply_bytes, budget.by_place
+    assert budget.used_bytes == context.reply_bytes, budget.by_place
+
+
+@behave.when('its caller reads')
+def when_read(context: typing.Any) -> None:
+    def read() -> None:
+        received = 0
+        while received < context.reply_bytes:
+            received += len(context.socket.recv(MB))
+
+    context.run(asyncio.to_thread(read))
