--- a/tests/peers/test_peers_memory.feature
+++ b/tests/peers/test_peers_memory.feature
@@ -119,3 +119,23 @@
     When it goes on
     Then all calls are answered with their whole bodies
     And the node of the target holds nothing
+
+  # Guards against parts of 2 bytes that are held as messages one by one.
+  Scenario: small parts that are not read yet are held as one
+    Given two nodes that call each other over one connection
+    When a window of 256 KiB is filled with parts of 2 bytes for a busy target
+    Then the parts take at most 1 MiB
+    When the target goes on
+    Then the target has read all of them
+
+  # Guards against a faulty node that sends bodies without end.
+  Scenario Outline: a node that sends <what> loses its connection
+    Given two nodes that call each other over one connection
+    When the other node sends <what> for a call that is not read
+    Then the connection has ended, and at most 2 MiB were taken
+
+    Examples:
+      | what                     |
+      | more than the window     |
+      | answers without end      |
+      | last parts without end   |
--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -9,6 +9,7 @@
 import tracemalloc
 import typing
 
+import attrs
 import behave
 
 from pomelobend import calls as call_values
@@ -18,6 +19,7 @@
 from pomelobend.memory import budget as budgets
 from pomelobend.peers import callee as callees
 from pomelobend.peers import caller as peer_callers
+from pomelobend.peers import codec
 from pomelobend.peers import link as links
 from pomelobend.peers import messages
 from pomelobend.peers import options
@@ -532,3 +534,84 @@
     context.run(act())
     assert not budget.used_bytes, budget.by_place
     assert not any(budget.by_place.values()), budget.by_place
+
+
+def start_of_upload(number: int) -> messages.CallStart:
+    """Return the start of a call whose body follows in parts."""
+    return attrs.evolve(
+        pool_steps.call_start(number), path=b'/10', is_complete=False
+    )
+
+
+@behave.when(
+    'a window of {size:d} KiB is filled with parts of {each:d} bytes for a '
+    'busy target'
+)
+def when_small_parts(context: typing.Any, size: int, each: int) -> None:
+    context.guard.is_free.clear()
+    context.size = size * KIB
+    stream = context.first.open_stream()
+    part = messages.BodyPart(stream.call, b'a' * each, False)
+    last = messages.BodyPart(stream.call, b'', True)
+    data = codec.encode(part)
+
+    async def act() -> None:
+        context.first.send(start_of_upload(stream.call))
+        await pool_steps.until(lambda: context.accepted.serving)
+        served = context.accepted.streams[stream.call]
+        tracemalloc.start()
+        try:
+            for _ in range(context.size // each):
+                served.deliver(codec.decode(data))
+            context.taken_bytes = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        served.deliver(last)
+
+    context.run(act())
+
+
+@behave.then('the parts take at most {most:d} MiB')
+def then_take(context: typing.Any, most: int) -> None:
+    assert context.taken_bytes <= most * MIB, context.taken_bytes
+
+
+@behave.then('the target has read all of them')
+def then_read_all(context: typing.Any) -> None:
+    context.run(pool_steps.until(lambda: context.guard.requests))
+    assert context.guard.requests == [context.size], context.guard.requests
+
+
+ENDLESS = {
+    'more than the window': messages.BodyPart(
+        1, bytes(streams.PART_BYTES), False
+    ),
+    'answers without end': messages.AnswerStart(
+        1, 200, [], bytes(streams.PART_BYTES), False, 0, 0
+    ),
+    'last parts without end': messages.BodyPart(
+        1, bytes(streams.PART_BYTES), True
+    ),
+}
+
+
+@behave.when('the other node sends {what} for a call that is not read')
+def when_endless(context: typing.Any, what: str) -> None:
+    stream = context.first.open_stream()
+    message = attrs.evolve(ENDLESS[what], call=stream.call)
+    context.stream = stream
+
+    async def act() -> None:
+        for _ in range(512):
+            context.accepted.send_if_open(message)
+            await asyncio.sleep(0)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.then('the connection has ended, and at most {most:d} MiB were taken')
+def then_ended(context: typing.Any, most: int) -> None:
+    taken = sum(len(message.body) for message in context.stream.inbox)
+    assert taken <= most * MIB, taken
+    assert context.first.is_closed
