--- a/tests/peers/test_peers_memory.feature
+++ b/tests/peers/test_peers_memory.feature
@@ -139,3 +139,13 @@
       | more than the window     |
       | answers without end      |
       | last parts without end   |
+
+  # Guards against a node that takes answers of its calls never, and so keeps
+  # the memory of the node that answers.
+  Scenario: an answer that is not taken is not held for long after its deadline
+    Given two nodes that call each other over one connection
+    And answers that are held for 0.3 s after their deadlines
+    When the other node calls for an answer of 1 MiB within 0.2 s and takes nothing of it
+    Then the node of the target holds 1 MiB after 0.4 s
+    And the node of the target holds nothing after 0.8 s
+    And the connection is still used for calls
--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -615,3 +615,43 @@
     taken = sum(len(message.body) for message in context.stream.inbox)
     assert taken <= most * MIB, taken
     assert context.first.is_closed
+
+
+@behave.given('answers that are held for {seconds:g} s after their deadlines')
+def given_idle(context: typing.Any, seconds: float) -> None:
+    context.accepted.handler.answer_idle_s = seconds
+
+
+@behave.when(
+    'the other node calls for an answer of {size:d} MiB within {limit_s:g} s '
+    'and takes nothing of it'
+)
+def when_untaken(context: typing.Any, size: int, limit_s: float) -> None:
+    stream = context.first.open_stream()
+    start = attrs.evolve(
+        pool_steps.call_start(stream.call),
+        path=b'/%d' % (size * MIB),
+        deadline_ms=round(limit_s * 1000),
+    )
+
+    async def act() -> None:
+        context.began_at = time.monotonic()
+        context.first.send(start)
+        await pool_steps.until(lambda: context.guard.requests)
+
+    context.run(act())
+
+
+@behave.then('the node of the target holds {size} after {seconds:g} s')
+def then_holds_after(context: typing.Any, size: str, seconds: float) -> None:
+    left_s = context.began_at + seconds - time.monotonic()
+    context.run(asyncio.sleep(left_s))
+    expected = 0 if size == 'nothing' else size_of(size)
+    budget = context.guard.budget
+    assert budget.used_bytes == expected, budget.by_place
+
+
+@behave.then('the connection is still used for calls')
+def then_used(context: typing.Any) -> None:
+    then_small(context, 1, 1.0)
+    assert not context.first.is_closed
