--- a/tests/peers/test_peers_memory.feature
+++ b/tests/peers/test_peers_memory.feature
@@ -80,3 +80,72 @@
     And it goes on
     Then the other calls are answered with their whole bodies
     And no body waits for the connection
+
+  # Guards against bodies of calls that wait for a slot, which nobody counts.
+  Scenario Outline: a node without room for the body of a call refuses it as not run, <what>
+    Given two nodes that call each other over one connection
+    And room at a busy target for 4 MiB of its calls
+    When 16 calls with <what> of 1 MiB are sent
+    Then <held> of them run and the others are refused as not run for want of memory
+    And small calls beside them run
+    When the target goes on
+    Then the calls that ran are answered
+    And the node of the target holds nothing
+
+    Examples:
+      | what     | held |
+      | requests | 3    |
+      | uploads  | 15   |
+
+  Scenario Outline: the body of a call is held no longer than <until>
+    Given two nodes that call each other over one connection
+    And room at a busy target for 4 MiB of its calls
+    When 2 calls with requests of 1 MiB are sent
+    Then the node of the target holds 2 MiB
+    When <until>
+    Then the node of the target holds nothing
+
+    Examples:
+      | until                   |
+      | the target goes on      |
+      | the target fails        |
+      | all calls are cancelled |
+      | the connection ends     |
+
+  Scenario: the body of an answer is held until its last part is sent
+    Given two nodes that call each other over one connection
+    When the node that reads answers of 1 MiB is held up as 16 calls are sent
+    Then the node of the target holds 16 MiB
+    When it goes on
+    Then all calls are answered with their whole bodies
+    And the node of the target holds nothing
+
+  # Guards against parts of 2 bytes that are held as messages one by one.
+  Scenario: small parts that are not read yet are held as one
+    Given two nodes that call each other over one connection
+    When a window of 256 KiB is filled with parts of 2 bytes for a busy target
+    Then the parts take at most 1 MiB
+    When the target goes on
+    Then the target has read all of them
+
+  # Guards against a faulty node that sends bodies without end.
+  Scenario Outline: a node that sends <what> loses its connection
+    Given two nodes that call each other over one connection
+    When the other node sends <what> for a call that is not read
+    Then the connection has ended, and at most 2 MiB were taken
+
+    Examples:
+      | what                     |
+      | more than the window     |
+      | answers without end      |
+      | last parts without end   |
+
+  # Guards against a node that takes answers of its calls never, and so keeps
+  # the memory of the node that answers.
+  Scenario: an answer that is not taken is not held for long after its deadline
+    Given two nodes that call each other over one connection
+    And answers that are held for 0.3 s after their deadlines
+    When the other node calls for an answer of 1 MiB within 0.2 s and takes nothing of it
+    Then the node of the target holds 1 MiB after 0.4 s
+    And the node of the target holds nothing after 0.8 s
+    And the connection is still used for calls
--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -9,14 +9,17 @@
 import tracemalloc
 import typing
 
+import attrs
 import behave
 
 from pomelobend import calls as call_values
 from pomelobend import clock as clocks
 from pomelobend import errors
 from pomelobend.membership import member as members
+from pomelobend.memory import budget as budgets
 from pomelobend.peers import callee as callees
 from pomelobend.peers import caller as peer_callers
+from pomelobend.peers import codec
 from pomelobend.peers import link as links
 from pomelobend.peers import messages
 from pomelobend.peers import options
@@ -37,6 +40,8 @@
 DEADLINE_S = 10.0
 SMALL_BYTES = 100
 BUFFER_BYTES = 16 * KIB
+NODE_BYTES = 128 * MIB
+NO_MEMORY = 'no memory'
 SLOW_PAUSE_S = 0.02
 SLOW_READ_S = 0.002
 
@@ -142,17 +147,28 @@
     wait_ms = 0
 
     def __init__(self) -> None:
+        self.budget = budgets.Budget(NODE_BYTES)
         self.requests: list[int] = []
+        self.is_free = asyncio.Event()
+        self.is_free.set()
+        self.failure: Exception | None = None
+        self.running = 0
 
     async def run(self, call: typing.Any) -> call_values.Answer:
         """Read the body of a call; answer with as many bytes as it asks."""
         start, rest = call
+        self.running += 1
         size = len(start.body)
+        if size != SMALL_BYTES:
+            await self.is_free.wait()
+        if self.failure is not None:
+            raise self.failure
         if rest is not None:
             size = sum([len(part) async for part in rest])
         self.requests.append(size)
-        body = bytes(int(start.path.rpartition(b'/')[2]))
-        return call_values.Answer(200, [], body)
+        size = int(start.path.rpartition(b'/')[2])
+        holding = self.budget.hold(budgets.Place.ANSWERS, size)
+        return call_values.Answer(200, [], bytes(size), holding=holding)
 
 
 async def parts_of(size: int) -> abc.AsyncIterator[bytes]:
@@ -212,6 +228,7 @@
     context.accepting.handler = callees.Callee(
         context.guard,
         lambda start, stream: (start, callees.remaining_body(start, stream)),
+        context.guard.budget,
     )
     context.accepted.handler = context.accepting.handler
 
@@ -448,3 +465,193 @@
     if context.reader.is_closed or context.writer.is_closed:
         return
     when_goes_on(context)
+
+
+@behave.given('room at a busy target for {room:d} MiB of its calls')
+def given_busy(context: typing.Any, room: int) -> None:
+    context.guard.is_free.clear()
+    context.guard.budget.max_bytes = room * MIB
+
+
+@behave.when('{count:d} calls with {kind:w} of {size} are sent')
+def when_calls(context: typing.Any, count: int, kind: str, size: str) -> None:
+    async def act() -> None:
+        start_calls(context, kind, size, count)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.then(
+    '{count:d} of them run and the others are refused as not run for want of '
+    'memory'
+)
+def then_some_run(context: typing.Any, count: int) -> None:
+    refused = [task.result() for task in context.calls if task.done()]
+    context.ran = [task for task in context.calls if not task.done()]
+    assert len(context.ran) == context.guard.running == count, refused
+    for refusal in refused:
+        assert refusal.reason is errors.Reason.OVERLOADED, refusal
+        assert refusal.run is errors.Run.NOT_RUN, refusal
+        assert NO_MEMORY in refusal.detail, refusal
+    assert context.guard.budget.used_bytes <= context.guard.budget.max_bytes
+
+
+@behave.then('small calls beside them run')
+def then_small_run(context: typing.Any) -> None:
+    then_small(context, 1, 1.0)
+    context.guard.requests.clear()
+
+
+@behave.when('the target goes on')
+def when_target_goes_on(context: typing.Any) -> None:
+    context.guard.is_free.set()
+
+
+@behave.when('the target fails')
+def when_target_fails(context: typing.Any) -> None:
+    context.guard.failure = ValueError('broken')
+    context.guard.is_free.set()
+
+
+@behave.then('the calls that ran are answered')
+def then_ran_answered(context: typing.Any) -> None:
+    check_answered(context, context.ran)
+
+
+@behave.then('the node of the target holds {size:d} MiB')
+def then_holds(context: typing.Any, size: int) -> None:
+    assert context.guard.budget.used_bytes == size * MIB
+
+
+@behave.then('the node of the target holds nothing')
+def then_holds_nothing(context: typing.Any) -> None:
+    budget = context.guard.budget
+
+    async def act() -> None:
+        await pool_steps.until(lambda: not context.accepted.serving)
+
+    context.run(act())
+    assert not budget.used_bytes, budget.by_place
+    assert not any(budget.by_place.values()), budget.by_place
+
+
+def start_of_upload(number: int) -> messages.CallStart:
+    """Return the start of a call whose body follows in parts."""
+    return attrs.evolve(
+        pool_steps.call_start(number), path=b'/10', is_complete=False
+    )
+
+
+@behave.when(
+    'a window of {size:d} KiB is filled with parts of {each:d} bytes for a '
+    'busy target'
+)
+def when_small_parts(context: typing.Any, size: int, each: int) -> None:
+    context.guard.is_free.clear()
+    context.size = size * KIB
+    stream = context.first.open_stream()
+    part = messages.BodyPart(stream.call, b'a' * each, False)
+    last = messages.BodyPart(stream.call, b'', True)
+    data = codec.encode(part)
+
+    async def act() -> None:
+        context.first.send(start_of_upload(stream.call))
+        await pool_steps.until(lambda: context.accepted.serving)
+        served = context.accepted.streams[stream.call]
+        tracemalloc.start()
+        try:
+            for _ in range(context.size // each):
+                served.deliver(codec.decode(data))
+            context.taken_bytes = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        served.deliver(last)
+
+    context.run(act())
+
+
+@behave.then('the parts take at most {most:d} MiB')
+def then_take(context: typing.Any, most: int) -> None:
+    assert context.taken_bytes <= most * MIB, context.taken_bytes
+
+
+@behave.then('the target has read all of them')
+def then_read_all(context: typing.Any) -> None:
+    context.run(pool_steps.until(lambda: context.guard.requests))
+    assert context.guard.requests == [context.size], context.guard.requests
+
+
+ENDLESS = {
+    'more than the window': messages.BodyPart(
+        1, bytes(streams.PART_BYTES), False
+    ),
+    'answers without end': messages.AnswerStart(
+        1, 200, [], bytes(streams.PART_BYTES), False, 0, 0
+    ),
+    'last parts without end': messages.BodyPart(
+        1, bytes(streams.PART_BYTES), True
+    ),
+}
+
+
+@behave.when('the other node sends {what} for a call that is not read')
+def when_endless(context: typing.Any, what: str) -> None:
+    stream = context.first.open_stream()
+    message = attrs.evolve(ENDLESS[what], call=stream.call)
+    context.stream = stream
+
+    async def act() -> None:
+        for _ in range(512):
+            context.accepted.send_if_open(message)
+            await asyncio.sleep(0)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.then('the connection has ended, and at most {most:d} MiB were taken')
+def then_ended(context: typing.Any, most: int) -> None:
+    taken = sum(len(message.body) for message in context.stream.inbox)
+    assert taken <= most * MIB, taken
+    assert context.first.is_closed
+
+
+@behave.given('answers that are held for {seconds:g} s after their deadlines')
+def given_idle(context: typing.Any, seconds: float) -> None:
+    context.accepted.handler.answer_idle_s = seconds
+
+
+@behave.when(
+    'the other node calls for an answer of {size:d} MiB within {limit_s:g} s '
+    'and takes nothing of it'
+)
+def when_untaken(context: typing.Any, size: int, limit_s: float) -> None:
+    stream = context.first.open_stream()
+    start = attrs.evolve(
+        pool_steps.call_start(stream.call),
+        path=b'/%d' % (size * MIB),
+        deadline_ms=round(limit_s * 1000),
+    )
+
+    async def act() -> None:
+        context.began_at = time.monotonic()
+        context.first.send(start)
+        await pool_steps.until(lambda: context.guard.requests)
+
+    context.run(act())
+
+
+@behave.then('the node of the target holds {size} after {seconds:g} s')
+def then_holds_after(context: typing.Any, size: str, seconds: float) -> None:
+    left_s = context.began_at + seconds - time.monotonic()
+    context.run(asyncio.sleep(left_s))
+    expected = 0 if size == 'nothing' else size_of(size)
+    budget = context.guard.budget
+    assert budget.used_bytes == expected, budget.by_place
+
+
+@behave.then('the connection is still used for calls')
+def then_used(context: typing.Any) -> None:
+    then_small(context, 1, 1.0)
+    assert not context.first.is_closed
