--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -131,3 +131,16 @@
     Then its answer is held as a reply
     When its caller reads
     Then the server holds nothing
+
+  # Guards against headers of one byte, which take far more in memory.
+  Scenario Outline: the number of headers is bounded, <count> <where>
+    Given an HTTP server with a budget of 4 MB
+    When a caller sends <count> headers <where> a request
+    Then it is answered with <status>
+
+    Examples:
+      | count | where    | status |
+      | 1000  | before   | 200    |
+      | 1001  | before   | 431    |
+      | 998   | behind   | 200    |
+      | 999   | behind   | 431    |
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -641,3 +641,25 @@
             received += len(context.socket.recv(MB))
 
     context.run(asyncio.to_thread(read))
+
+
+@behave.when('a caller sends {count:d} headers before a request')
+def when_headers(context: typing.Any, count: int) -> None:
+    headers = server_steps.HOST + b'a:\r\n' * (count - 1)
+    _send_request(context, b'GET /a/ HTTP/1.1\r\n%b\r\n' % headers)
+
+
+@behave.when('a caller sends {count:d} headers behind a request')
+def when_trailers(context: typing.Any, count: int) -> None:
+    head = b'POST /a/ HTTP/1.1\r\n%bTransfer-Encoding: chunked\r\n\r\n'
+    body = b'1\r\nx\r\n0\r\n%b\r\n' % (b'a:\r\n' * count)
+    _send_request(context, head % server_steps.HOST + body)
+
+
+def _send_request(context: typing.Any, data: bytes) -> None:
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send(data)
+        context.status = await context.caller.read_reply()
+
+    context.run(act())
