Cold limit: a node that is killed and back within a second keeps it

If the target has been cold for longer than this process runs, the process counts as many calls as the limit allows at its own start, as an earlier one may have sent them.

--- a/tests/admission/test_admission_cold.feature
+++ b/tests/admission/test_admission_cold.feature
@@ -30,5 +30,24 @@
     Then in no second did more than 14 calls arrive at it
     And in a second between them at least 12 calls arrived
 
+  Scenario Outline: a node that is killed keeps the limit of its target
+    Given a cold target to which connections take 0.0 s
+    When calls arrive for it at 100 per second for 0.3 s
+    And the node is killed, back after <away> s, and resumes it
+    And calls arrive for it at 100 per second for 1.5 s
+    Then in no second did more than 14 calls arrive at it
+    And in a second between them at least 12 calls arrived
+
+    Examples:
+      | away |
+      | 0.1  |
+      | 0.55 |
+
+  Scenario: a target that starts together with its node gets calls at once
+    Given a cold target to which connections take 0.0 s
+    When node and target have lost power and start together
+    And calls arrive for it at 100 per second for 0.5 s
+    Then in a second between them at least 12 calls arrived
+
   Scenario: the limit holds under any course of events
     Then no course of calls, connections, heartbeats, configurations and restarts breaks the limit
--- a/tests/steps/test_admission_cold.py
+++ b/tests/steps/test_admission_cold.py
@@ -35,7 +35,8 @@
 RUN_S = 0.01
 COLD_S = 3.0
 PATIENCE_S = 3.0
-RESTART_S = 1.1
+RESTARTS_S = (0.1, 0.55, 1.1)
+TOGETHER_S = 0.02
 SLOTS = 1000
 INSTANT_S = 0.001
 EXAMPLES = 1000
@@ -60,7 +61,7 @@
     def begin(self, **_: typing.Any) -> None:
         """Prepare for a call."""
 
-    def write(self, _: bytes) -> None:
+    def write_request(self, _head: bytes, _body: bytes) -> None:
         """Record the arrival of a call."""
         self.target.arrivals.append(asyncio.get_running_loop().time())
 
@@ -129,7 +130,13 @@
             counter_module.Counters(),
             gate_steps.ENDLESS_S,
             lambda: False,
-            cold=colds.ColdLimit(self.per_s, factor=FACTOR, slack=SLACK),
+            cold=colds.ColdLimit(
+                self.per_s,
+                factor=FACTOR,
+                slack=SLACK,
+                start_s=COLD_S,
+                process_at=clock.monotonic(),
+            ),
         )
         gate_steps.set_expected_run_time(gate, RUN_S)
         return gate
@@ -187,6 +194,13 @@
 
         self.run(act())
 
+    def restart(self, away_s: float) -> None:
+        """Let the node be killed and start again after some time."""
+
+        self.stop()
+        self.pass_time(away_s)
+        self.gate = self.run(self.new_gate())
+
     def pass_time(self, seconds: float) -> None:
         """Let time pass."""
         self.run(asyncio.sleep(seconds))
@@ -194,13 +208,24 @@
     def end(self) -> None:
         """Cancel what runs and close the loop."""
 
+        self.stop()
+        self.loop.close()
+
+    def stop(self) -> None:
+        """Cancel what runs; raise what went wrong in it."""
+
         async def act() -> None:
             for task in self.tasks:
                 task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await asyncio.wait(self.tasks)
 
+        if not self.tasks:
+            return
         self.run(act())
-        self.loop.close()
+        for task in self.tasks:
+            if not task.cancelled():
+                task.result()
+        self.tasks.clear()
 
     def most(self, within_s: float = 1.0) -> int:
         """Return the largest number of arrivals in any second."""
@@ -276,21 +301,11 @@
         self.played.per_s = self.played.gate.cold.per_s = per_s
         self.limits.append((self.now, per_s))
 
-    @stateful.rule()
-    def node_restarts(self) -> None:
+    @stateful.rule(away_s=strategies.sampled_from(RESTARTS_S))
+    def node_restarts(self, away_s: float) -> None:
         """Let the node end, start again and resume its target."""
-        played = self.played
-
-        async def stop() -> None:
-            for task in played.tasks:
-                task.cancel()
-            await asyncio.gather(*played.tasks, return_exceptions=True)
-            played.tasks.clear()
-
-        played.run(stop())
-        played.pass_time(RESTART_S)
-        played.gate = played.run(played.new_gate())
-        played.resume(max(0.0, played.cold_end - self.now))
+        self.played.restart(away_s)
+        self.played.resume(max(0.0, self.played.cold_end - self.now))
 
     @stateful.invariant()
     def limit_holds(self) -> None:
@@ -353,6 +368,20 @@
     context.played.resume(COLD_S)
 
 
+@behave.when('the node is killed, back after {away_s:g} s, and resumes it')
+def when_killed(context: typing.Any, away_s: float) -> None:
+    left_s = COLD_S - context.played.loop.time() - away_s
+    context.played.restart(away_s)
+    context.played.resume(left_s)
+
+
+@behave.when('node and target have lost power and start together')
+def when_both(context: typing.Any) -> None:
+    context.played.restart(1.0)
+    context.played.target.arrivals.clear()
+    context.played.resume(COLD_S - TOGETHER_S)
+
+
 @behave.when('a heartbeat arrives that was sent before it turned cold')
 def when_late(context: typing.Any) -> None:
     context.played.beat(1, 0.0)
