Bookings whose callers have left are taken out of the queues

Callers send bookings to targets without a free slot and leave; the bookings ran once slots were free, more than 1 s later (GONE). A call that may not be repeated ran on when its caller had left, whether it had begun or not.

The node of the target keeps it if it has a slot, and takes it out of the queue otherwise.

--- /dev/null
+++ b/pomelobend/mesh/kept_runs.py
@@ -0,0 +1,88 @@
+"""Calls at the local target whose callers leave.
+
+A call that may not be repeated runs to its end once it has begun, as its
+target may have done part of its work. One that waits has done none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import attrs
+import structlog
+
+if typing.TYPE_CHECKING:
+    from pomelobend.admission import gate as gates
+    from pomelobend import calls
+    from pomelobend.routing import call as call_module
+
+logger = structlog.get_logger('runs')
+
+
+@attrs.define(eq=False)
+class KeptRuns:
+    """Runs calls at the local target, through its gate.
+
+    Parameters
+    ----------
+    tasks : set of asyncio.Task
+        Calls that run on although nobody waits for them.
+    """
+
+    gate: gates.Gate
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    @property
+    def free(self) -> int:
+        """Return how many more calls could start now."""
+        return self.gate.free
+
+    @property
+    def wait_ms(self) -> int:
+        """Return the expected wait for a slot of a new call, in ms."""
+        return self.gate.wait_ms
+
+    def wait_s(self) -> float:
+        """Return the expected wait for a slot of a new call, in s."""
+        return self.gate.wait_s()
+
+    async def run(self, call: call_module.Call) -> calls.Answer:
+        """Run a call on the target.
+
+        When this is cancelled, a call that has a slot and may not be repeated
+        runs on; every other one ends.
+
+        Raises
+        ------
+        errors.CallRefusedError
+            As ``Gate.run`` tells.
+        """
+        if call.is_idempotent:
+            return await self.gate.run(call)
+        task = asyncio.create_task(self.gate.run(call))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._handle_leave(call, task)
+            raise
+
+    def _handle_leave(
+        self, call: call_module.Call, task: asyncio.Task
+    ) -> None:
+        """Keep a run that has begun, and end a call that waits."""
+        now = self.gate.clock.monotonic()
+        has_begun = call in self.gate.expected_ends
+        if has_begun and now < call.deadline:
+            self.tasks.add(task)
+        else:
+            task.cancel()
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.info(
+                'runs: call failed after its caller left',
+                why=str(task.exception()),
+            )
