--- a/benchmarks/large_upload.py
+++ b/benchmarks/large_upload.py
@@ -87,11 +87,16 @@
 
 
 async def run_case(
-    case: str, size: int, large: int, calls: int, rate: float
+    case: str,
+    size: int,
+    large: int,
+    calls: int,
+    rate: float,
+    memory_mb: int,
 ) -> dict[str, typing.Any]:
     """Measure one case with nodes of its own."""
     async with fleets.Fleet.open() as fleet:
-        mesh = meshes.Mesh(fleet, slots=SLOTS)
+        mesh = meshes.Mesh(fleet, slots=SLOTS, memory_mb=memory_mb)
         await start(mesh)
         url = f'http://{mesh.vms["front"].addresses["outbound"]}{PATH}'
         nodes = {name: vm.node for name, vm in mesh.vms.items()}
@@ -118,12 +123,12 @@
 
 
 async def run(
-    size: int, large: int, calls: int, rate: float
+    size: int, large: int, calls: int, rate: float, memory_mb: int
 ) -> dict[str, typing.Any]:
     """Measure all cases one after the other."""
     cases = {}
     for case in CASES:
-        cases[case] = await run_case(case, size, large, calls, rate)
+        cases[case] = await run_case(case, size, large, calls, rate, memory_mb)
     alone = cases['alone']['small']
     return {
         'cases': cases,
@@ -140,6 +145,7 @@
         'large': large,
         'calls': calls,
         'rate': rate,
+        'memory_mb': memory_mb,
     }
 
 
@@ -150,9 +156,19 @@
     parser.add_argument('--large', type=int, default=1)
     parser.add_argument('--calls', type=int, default=100)
     parser.add_argument('--rate', type=float, default=50.0)
+    parser.add_argument(
+        '--memory-mb',
+        type=int,
+        default=0,
+        help='memory of a VM as the nodes are told, 0 if unknown',
+    )
     args = parser.parse_args()
     size = args.mib * measure.MIB
-    measure.report(asyncio.run(run(size, args.large, args.calls, args.rate)))
+    measure.report(
+        asyncio.run(
+            run(size, args.large, args.calls, args.rate, args.memory_mb)
+        )
+    )
 
 
 if __name__ == '__main__':
