--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -49,6 +49,11 @@
 """Share of the budget that large bodies may use, so that small ones pass."""
 
 
+REQUESTS_SHARE = 5 / 8
+"""Share of the budget that the bodies of several requests may use, so that
+the answers of those that have run pass. One alone may use more."""
+
+
 class Place(enum.StrEnum):
     """Where bytes are held."""
 
@@ -58,6 +63,9 @@
     NODES = 'nodes'
 
 
+REQUEST_PLACES = frozenset((Place.REQUESTS, Place.NODES))
+
+
 @attrs.define(eq=False)
 class Holding:
     """The bytes of one body in one place.
@@ -191,6 +199,8 @@
         holding = self.open(place)
         holding.complete()
         self._add(holding, size)
+        if not self._has_room(holding):
+            self._reclaim()
         if not self._has_room(holding):
             self.free(holding)
             raise errors.MemoryFullError(f'no memory for {size} bytes')
@@ -211,8 +221,10 @@
     def take(self, holding: Holding, size: int) -> None:
         """Give bytes to a holding, or give it up.
 
-        The largest body that is being received goes first. A small body may
-        also displace one that is whole, if its receiver doesn't take it.
+        The largest body that is being received goes first, but not a request
+        while all of them are within their share: many answers without end
+        don't displace one. A small body may also displace one that is whole,
+        if its receiver doesn't take it.
         """
         self._add(holding, size)
         if not self._has_room(holding):
@@ -245,14 +257,31 @@
         self.by_place[holding.place] += size
 
     def _has_room(self, holding: Holding) -> bool:
-        is_small = holding.size <= SMALL_BYTES
-        limit = self.max_bytes if is_small else self.large_bytes
-        return self.used_bytes <= limit
+        if holding.size <= SMALL_BYTES:
+            return self.used_bytes <= self.max_bytes
+        return self.used_bytes <= self.large_bytes and not (
+            self._is_share_exceeded(holding)
+        )
+
+    def _is_share_exceeded(self, holding: Holding) -> bool:
+        """Return whether a request is one too many beside others."""
+        if holding.place not in REQUEST_PLACES:
+            return False
+        others_bytes = self._requests_bytes - holding.size
+        return self._has_many_requests and others_bytes > SMALL_BYTES
+
+    @property
+    def _requests_bytes(self) -> int:
+        return sum(self.by_place[place] for place in REQUEST_PLACES)
+
+    @property
+    def _has_many_requests(self) -> bool:
+        return self._requests_bytes > REQUESTS_SHARE * self.max_bytes
 
     def _victim(self, holding: Holding) -> Holding:
         """Return the body that makes room for another one, or that one."""
         others = [item for item in self.holdings if item.size > SMALL_BYTES]
-        growing = [item for item in others if item.is_growing]
+        growing = self._growing(others)
         if growing:
             return max(growing, key=lambda item: item.size)
         if holding.size > SMALL_BYTES:
@@ -260,6 +289,17 @@
         untaken = [item for item in others if item.on_give_up is not None]
         return max(untaken, key=lambda item: item.size, default=holding)
 
+    def _growing(self, holdings: list[Holding]) -> list[Holding]:
+        """Return the bodies that are received, of the kind that has to go."""
+        found = [item for item in holdings if item.is_growing]
+        requests = [item for item in found if item.place in REQUEST_PLACES]
+        answers = [item for item in found if item not in requests]
+        if self.used_bytes <= self.large_bytes:
+            return requests
+        if answers and not self._has_many_requests:
+            return answers
+        return found
+
     def _give_up(self, holding: Holding) -> None:
         logger.warning(
             'memory: a body is given up',
--- a/pomelobend/turns.py
+++ b/pomelobend/turns.py
@@ -18,6 +18,11 @@
 
 SLICE_BYTES = 4096
 
+LARGE_SLICE_BYTES = 32 * 1024
+"""Size of a slice after one of few parts."""
+
+FEW_PARTS = 8
+
 TURN_PARTS = 256
 """Parts, such as headers and chunks, after which a turn ends."""
 
@@ -64,12 +69,15 @@
         from the socket meanwhile.
     rest : memoryview
         Input that has not been parsed yet.
+    is_queued : bool
+        Whether the input waits for another turn.
     """
 
     turns: Turns
     parse: abc.Callable[[memoryview], int]
     on_change: abc.Callable[[], None]
     rest: memoryview = memoryview(b'')
+    is_queued: bool = False
 
     @property
     def is_waiting(self) -> bool:
@@ -84,15 +92,18 @@
         self.rest = memoryview(data)
         self._parse_turn()
         if self.is_waiting:
+            self.is_queued = True
             self.turns.add(self)
             self.on_change()
 
     def take_turn(self) -> None:
         """Parse as much of the waiting input as one turn allows."""
         if not self.is_waiting:
+            self.is_queued = False
             return
         self._parse_turn()
         if not self.is_waiting:
+            self.is_queued = False
             self.on_change()
 
     def finish(self) -> None:
@@ -105,8 +116,10 @@
         self.rest = memoryview(b'')
 
     def _parse_turn(self) -> None:
-        parts = 0
+        parts, size = 0, SLICE_BYTES
         while self.is_waiting and parts < TURN_PARTS:
-            piece = self.rest[:SLICE_BYTES]
-            self.rest = self.rest[SLICE_BYTES:]
-            parts += self.parse(piece)
+            piece = self.rest[:size]
+            self.rest = self.rest[size:]
+            found = self.parse(piece)
+            parts += found
+            size = SLICE_BYTES if found > FEW_PARTS else LARGE_SLICE_BYTES
--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -55,3 +55,29 @@
     Given a budget of 16 MB that bodies in reference cycles fill
     When a body grows to 8 MB
     Then it is not given up
+
+  # Guards against calls that have run and whose answers find no room, as the
+  # bodies of waiting requests fill the budget.
+  Scenario: requests leave room for the answers of those that have run
+    Given a budget of 16 MB
+    When requests of 1 MB are received until one is given up
+    And a body grows to 4 MB
+    Then it is not given up
+    And 10 requests are held
+
+  Scenario: one request alone may use all that large bodies may use
+    Given a budget of 16 MB
+    When a request grows to 15 MB
+    Then it is not given up
+
+  # Guards against an upload that is given up for many answers without end.
+  Scenario: many answers without end do not displace a large request
+    Given a budget of 16 MB
+    When a request grows to 9 MB beside 8 answers that grow without end
+    Then it is not given up
+
+  # Guards against calls of other nodes that are refused because of garbage.
+  Scenario: bodies in reference cycles are freed before a whole one is refused
+    Given a budget of 16 MB that bodies in reference cycles fill
+    When a body of 2 MB that is whole is held
+    Then it is not given up
--- a/tests/steps/test_memory_budget.py
+++ b/tests/steps/test_memory_budget.py
@@ -81,6 +81,55 @@
         del cycle
 
 
+@behave.given('a budget of {size:d} MB')
+def given_budget(context: typing.Any, size: int) -> None:
+    context.budget = budgets.Budget(size * MB)
+
+
+@behave.when('requests of 1 MB are received until one is given up')
+def when_requests(context: typing.Any) -> None:
+    context.held = []
+    while True:
+        holding = context.budget.open(budgets.Place.REQUESTS)
+        if _grow(holding, MB):
+            return
+        holding.complete()
+        context.held.append(holding)
+
+
+@behave.then('{count:d} requests are held')
+def then_requests(context: typing.Any, count: int) -> None:
+    assert len(context.held) == count, len(context.held)
+
+
+@behave.when('a request grows to {size:d} MB')
+def when_request(context: typing.Any, size: int) -> None:
+    context.body = context.budget.open(budgets.Place.REQUESTS)
+    _grow(context.body, size * MB)
+
+
+@behave.when(
+    'a request grows to {size:d} MB beside {count:d} answers that grow without'
+    ' end'
+)
+def when_beside(context: typing.Any, size: int, count: int) -> None:
+    context.body = context.budget.open(budgets.Place.REQUESTS)
+    context.body.grow(size * MB)
+    answers = [
+        context.budget.open(budgets.Place.ANSWERS) for _ in range(count)
+    ]
+    while not all(item.is_given_up for item in answers):
+        for item in answers:
+            if not item.is_given_up:
+                with contextlib.suppress(errors.MemoryFullError):
+                    item.grow(16 * KB)
+
+
+@behave.when('a body of {size:d} MB that is whole is held')
+def when_whole(context: typing.Any, size: int) -> None:
+    context.body = context.budget.hold(budgets.Place.NODES, size * MB)
+
+
 @behave.then('it is not given up')
 def then_not_given_up(context: typing.Any) -> None:
     assert not context.body.is_given_up
