--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -144,3 +144,20 @@
       | 1001  | before   | 431    |
       | 998   | behind   | 200    |
       | 999   | behind   | 431    |
+
+  # Guards against uploads in very small parts that hold up other callers.
+  Scenario Outline: an upload in chunks of one byte is parsed in turns, <loop>
+    Given an HTTP server with a budget of 4 MB
+    When 40000 chunks of 1 byte and the end of a request come in one read
+    Then at most 1000 of them have been parsed, and reading pauses
+    And a small request is answered with 200 before all are parsed
+    And the handler receives the 40000 bytes, and reading has resumed
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -43,14 +43,18 @@
     may_answer : asyncio.Event
     received : int
         Number of requests that came.
+    body_bytes : list of int
+        The sizes of their bodies.
     """
 
     may_answer: asyncio.Event
     received: int = 0
+    body_bytes: list[int] = attrs.field(factory=list)
 
     async def answer(self, request: message.Request) -> message.Reply:
         """Answer a request."""
         self.received += 1
+        self.body_bytes.append(len(request.body))
         await self.may_answer.wait()
         return message.Reply(200)
 
@@ -663,3 +667,49 @@
         context.status = await context.caller.read_reply()
 
     context.run(act())
+
+
+@behave.when(
+    '{count:d} chunks of 1 byte and the end of a request come in one read'
+)
+def when_chunks(context: typing.Any, count: int) -> None:
+    chunks = b'1\r\nx\r\n' * count + b'0\r\n\r\n'
+    head = b'POST /a/ HTTP/1.1\r\n%bTransfer-Encoding: chunked\r\n\r\n'
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await until(lambda: len(context.server.connections) == 1)
+        (context.connection,) = context.server.connections
+        context.connection.data_received(head % server_steps.HOST + chunks)
+        incoming = context.connection.incoming
+        context.parsed = incoming.body_size if incoming else count
+        context.is_paused = context.connection.is_paused
+        caller = await Caller.open(context)
+        await caller.send_head(1)
+        await caller.send_body(1)
+        context.status = await caller.read_reply()
+
+    context.run(act())
+
+
+@behave.then('at most {most:d} of them have been parsed, and reading pauses')
+def then_parsed(context: typing.Any, most: int) -> None:
+    assert 0 < context.parsed <= most, context.parsed
+    assert context.is_paused
+
+
+@behave.then(
+    'a small request is answered with {status:d} before all are parsed'
+)
+def then_before(context: typing.Any, status: int) -> None:
+    assert context.status == status, context.status
+    assert context.handler.body_bytes == [1], context.handler.body_bytes
+
+
+@behave.then(
+    'the handler receives the {size:d} bytes, and reading has resumed'
+)
+def then_received(context: typing.Any, size: int) -> None:
+    assert context.run(context.caller.read_reply()) == 200
+    assert context.handler.body_bytes == [1, size], context.handler.body_bytes
+    assert not context.connection.is_paused
