Links between nodes: no replies without end to a node that reads nothing

What callers saw: nothing by itself. A faulty node that asked for objects again and again, and read nothing, made its neighbour buffer a listing of up to 2 MiB for each request; and a heartbeat for each ping, whose place in the buffer takes more memory than its bytes.

Cause: messages that belong to no call never wait, and nothing bounded what they add up to.

--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -655,3 +655,68 @@
 def then_used(context: typing.Any) -> None:
     then_small(context, 1, 1.0)
     assert not context.first.is_closed
+
+
+class Answering:
+    """Answers each request for objects at once."""
+
+    def dispatch_message(
+        self, connection: typing.Any, message: messages.Message
+    ) -> None:
+        """Send a listing."""
+        connection.send_if_open(messages.Listing('config', 1, bytes(MIB)))
+
+
+@behave.when(
+    'the other node asks for 1 MiB of data {count:d} times and reads nothing'
+)
+def when_asks(context: typing.Any, count: int) -> None:
+    context.accepted.handler = Answering()
+    link = context.accepted.link
+    context.most_unsent = 0
+
+    async def act() -> None:
+        closing_steps.transport_of(context.first).pause_reading()
+        for number in range(count):
+            context.first.send_if_open(messages.Want('config'))
+            context.most_unsent = max(context.most_unsent, link.unsent_bytes)
+            if not number % 100:
+                await asyncio.sleep(0)
+        end = time.monotonic() + SETTLE_S
+        while time.monotonic() < end:
+            context.most_unsent = max(context.most_unsent, link.unsent_bytes)
+            await asyncio.sleep(0)
+
+    context.run(act())
+
+
+@behave.then('at most {most:d} KiB were unsent to it')
+def then_most_unsent(context: typing.Any, most: int) -> None:
+    assert context.most_unsent <= most * KIB, context.most_unsent
+
+
+@behave.then('its connection has ended')
+def then_its_ended(context: typing.Any) -> None:
+    assert context.accepted.is_closed
+
+
+@behave.when(
+    '{count:d} pings of the other node arrive while {what} is unsent to it'
+)
+def when_pings(context: typing.Any, count: int, what: str) -> None:
+    connection = context.accepted
+    before = connection.link.traffic.sent
+
+    async def act() -> None:
+        connection.link.is_write_paused = what == 'much'
+        for _ in range(count):
+            connection._dispatch(messages.Ping())
+
+    context.run(act())
+    context.answered_bytes = connection.link.traffic.sent - before
+
+
+@behave.then('{count:d} of them are answered')
+def then_pings(context: typing.Any, count: int) -> None:
+    size = len(codec.encode(messages.Heartbeat(0)))
+    assert context.answered_bytes == count * size, context.answered_bytes
