Soak: targets that answer without end, nodes that are killed above their memory

A node whose VmHWM is above is killed, started again, and reported as a problem. Answers without end excuse what ran at their target, but not its node.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -48,6 +48,9 @@
 UNPLANNED = AT_NODES | AT_TARGETS
 """Load by other processes is not among them: no rule excuses it."""
 
+ENDLESS = 'endless'
+"""Answers without end excuse what ran at their target, not their node."""
+
 SHORT_OF_TIME = 'short-of-time'
 """A node got no processor time for a moment; no rule excuses it either."""
 
@@ -119,6 +122,7 @@
         if self.label == NO_ANSWER:
             return SILENCING.isdisjoint(self.own)
         is_calm = UNPLANNED.isdisjoint(self.own + self.there)
+        is_calm &= ENDLESS not in self.there
         is_beside = bool(set(self.own) - {SHORT_OF_TIME})
         is_counted = self.label != CLOSED_LATE or is_beside
         return self.label in GRAVE and is_calm and is_counted
@@ -434,10 +438,15 @@
         if item.label in (CLOSED_RUN, EXCUSED_CLOSE)
         and item.request.is_kept
         and (AT_NODES | STARTS).isdisjoint(item.own)
-        and AT_TARGETS.isdisjoint(kinds(world, item.request, {_last_vm(item)}))
+        and _is_sound(kinds(world, item.request, {_last_vm(item)}))
     ]
 
 
+def _is_sound(done: list[str]) -> bool:
+    """Return whether nothing was done to a target."""
+    return (AT_TARGETS | {ENDLESS}).isdisjoint(done)
+
+
 def _last_vm(item: Finding) -> str:
     """Return the VM whose target has run a request last."""
     return max(item.runs, key=lambda run: run.began).vm
@@ -455,7 +464,11 @@
         for name in world.vms
         if 'Traceback' in (world.processes.folder / f'{name}.log').read_text()
     ]
-    return grave + ends + traces
+    excesses = [
+        f'{name} used {used_kb // 1024} MB of {world.memory_mb} MB, killed'
+        for name, used_kb in world.excesses
+    ]
+    return grave + ends + traces + excesses
 
 
 def certain(found: typing.Iterable[str]) -> list[str]:
--- a/soak/report.py
+++ b/soak/report.py
@@ -68,6 +68,7 @@
         *_reply_times(world, requests),
         *_closes(world, requests),
         *_silences(world, findings),
+        *_peaks(world),
         *(f'PROBLEM {text}' for text in sorted(set(problems))),
     ]
     shown: collections.Counter = collections.Counter()
@@ -128,6 +129,13 @@
             )
 
 
+def _peaks(world: worlds.World) -> typing.Iterator[str]:
+    """Yield a line with the most memory that each node has used."""
+    if world.peaks_kb:
+        peaks = {name: kb // 1024 for name, kb in world.peaks_kb.items()}
+        yield f'most memory used, in MB of {world.memory_mb} MB: {peaks}'
+
+
 def _closes(
     world: worlds.World, requests: list[clients.Request]
 ) -> typing.Iterator[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from soak import clients
 from soak import deployments
 from soak import disturbances as acts
+from soak import memory
 from soak import report as reports
 from soak import shortages
 from soak import troubles
@@ -37,6 +38,9 @@
         Share of their requests that go on to nodes that stop.
     start_share : float
         Share of their requests that go to nodes that start.
+    memory_mb : int
+        Memory that nodes are told that they may use, above which they are
+        killed; 0 if they are told none.
     """
 
     series: tuple[Act, ...]
@@ -45,6 +49,7 @@
     leave_share: float = 0.0
     stay_share: float = 0.0
     start_share: float = 0.0
+    memory_mb: int = 0
 
     @property
     def has_proxies(self) -> bool:
@@ -171,11 +176,25 @@
         ('turn', _in_turn(deployment)),
     )
 }
+ENDLESS = (
+    *(*STOPS, acts.hup, acts.configure, acts.limit),
+    *(memory.answer_endlessly, memory.answer_endlessly),
+)
+ENDLESS_MIXES = {
+    'endless': Mix(ENDLESS, memory_mb=memory.LIMIT_MB),
+    'endless-short': Mix(
+        ENDLESS,
+        deployment=deployments.SHORT_DEADLINES_OPEN,
+        stay_share=STAY_SHARE,
+        memory_mb=memory.LIMIT_MB,
+    ),
+}
 MIXES = (
     SHORT_MIXES
     | SHORTAGE_MIXES
     | LONGER_MIXES
     | OPEN_MIXES
+    | ENDLESS_MIXES
     | {
         'stops': Mix((*STOPS, acts.hup, acts.configure)),
         'planned': Mix(
@@ -278,7 +297,10 @@
     count = count or usual_callers(mix_name, node_count)
     async with fleet.Fleet.open() as processes:
         world = worlds.World(
-            processes, deployment=mix.deployment, random=random.Random(seed)
+            processes,
+            deployment=mix.deployment,
+            random=random.Random(seed),
+            memory_mb=mix.memory_mb,
         )
         try:
             await world.start(node_count, has_proxies=mix.has_proxies)
@@ -332,6 +354,8 @@
             load.create_task(sender.run(until))
         for name in world.vms:
             load.create_task(callers.watch(world, name, until))
+        if world.memory_mb:
+            load.create_task(memory.watch(world, until))
         lag = load.create_task(_measure_lag(world, until))
         async with asyncio.TaskGroup() as series:
             for act in mix.series:
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -30,7 +30,7 @@
 async def crash(world: worlds.World) -> None:
     """Let a target crash; it is back under a new id after some seconds."""
     await world.sleep(0.5, 3.0)
-    name = _pick_target(world)
+    name = pick_target(world)
     if not name:
         return
     vm, began = world.vms[name], time.time()
@@ -47,12 +47,12 @@
 async def answer_oddly(world: worlds.World) -> None:
     """Let a target lose or spoil some answers, or stay silent."""
     await world.sleep(0.5, 2.0)
-    name = _pick_target(world)
+    name = pick_target(world)
     if not name:
         return
     began = time.time()
     odd = {world.random.choice(ODD): world.random.randint(1, 6)}
-    await _change_for(world, name, ODD_S, {'odd': odd}, {'odd': {}})
+    await change_for(world, name, ODD_S, {'odd': odd}, {'odd': {}})
     world.note('odd', name, began, str(odd))
     world.replaced.discard(name)
 
@@ -60,20 +60,20 @@
 async def slow(world: worlds.World) -> None:
     """Let a target take several times as long, which excuses no node."""
     await world.sleep(0.2, 1.5)
-    name = _pick_target(world)
+    name = pick_target(world)
     if not name:
         return
     began = time.time()
     pace = world.deployment.targets.pace(list(world.vms).index(name))
     factor = world.random.uniform(*SLOWER)
-    await _change_for(
+    await change_for(
         world, name, SLOW_S, {'pace': pace * factor}, {'pace': pace}
     )
     world.note('slow', name, began, f'factor {factor:.1f}')
     world.replaced.discard(name)
 
 
-async def _change_for(
+async def change_for(
     world: worlds.World,
     name: str,
     range_s: tuple[float, float],
@@ -229,7 +229,7 @@
     world.note('term', name, began, f'exit {code}')
 
 
-def _pick_target(world: worlds.World) -> str:
+def pick_target(world: worlds.World) -> str:
     """Return a VM whose target is left alone and may be taken, or ''."""
     name = world.random.choice(sorted(world.vms))
     if name in world.replaced or not world.may_take(name):
--- a/soak/world.py
+++ b/soak/world.py
@@ -56,6 +56,12 @@
         Name of the VM and Unix time of each start of a node.
     reports : list of tuple
         Name of the VM and last report of each target that has ended.
+    peaks_kb : dict of str to int
+        Most memory that nodes have used, by VM, if that is watched.
+    excesses : list of tuple
+        Name of the VM and memory in KiB of each node that used too much.
+    killed : set of Process
+        Those nodes, which were killed.
     """
 
     slots: int = 40
@@ -75,6 +81,9 @@
     starts: list[tuple[str, float]] = attrs.field(factory=list)
     exits: list[tuple[str, int]] = attrs.field(factory=list)
     reports: list[tuple[str, dict]] = attrs.field(factory=list)
+    peaks_kb: dict[str, int] = attrs.field(factory=dict)
+    excesses: list[tuple[str, int]] = attrs.field(factory=list)
+    killed: set[fleet.Process] = attrs.field(factory=set)
     side_address: str = ''
     proxies: dict[str, proxies.Proxy] = attrs.field(factory=dict)
 
@@ -173,6 +182,12 @@
         """Return the VMs of a failure domain."""
         return [n for n, vm in self.vms.items() if vm.domain == name]
 
+    @property
+    def running(self) -> list[str]:
+        """Return the VMs whose nodes neither stop nor start, or else all."""
+        busy = self.stopping | self.starting
+        return sorted(set(self.vms) - busy) or sorted(self.vms)
+
     def note(self, kind: str, vm: str, began: float, detail: str = '') -> None:
         """Record what was done from a moment until now."""
         self.events.append(Event(kind, vm, began, time.time(), detail))
--- a/tests/soak/test_soak_checks.feature
+++ b/tests/soak/test_soak_checks.feature
@@ -14,6 +14,9 @@
       | nothing | POST   | 503    | 1        |
       | pause   | GET    | 502    | 0        |
       | crash   | GET    | 502    | 0        |
+      | endless at its target | GET | 502 | 0 |
+      | endless | GET    | 502    | 1        |
+      | endless | POST   | 504    | 1        |
       | short-of-time | GET | 502 | 1        |
       | short-of-time | POST | 504 | 1       |
 
@@ -47,12 +50,25 @@
       | store         | *         | 1        |
       | crash         | target-vm | 1        |
       | slow          | target-vm | 1        |
+      | endless       | target-vm | 1        |
+      | endless       | caller-vm | 1        |
       | pause         | target-vm | 1        |
       | short-of-time | target-vm | 1        |
       | pause         | caller-vm | 0        |
       | kill          | caller-vm | 0        |
       | short-of-time | caller-vm | 0        |
 
+  Scenario Outline: a node that uses more memory than it may
+    Given a soak with a node that <stops>
+    When a node may use <memory> MB and its memory is watched
+    Then it was <ended> and <started>, and the soak finds <problems> problems
+
+    Examples:
+      | stops         | memory | ended      | started     | problems |
+      | does not stop | 1      | killed     | started     | 1        |
+      | stops         | 1      | killed     | not started | 1        |
+      | does not stop | 1000   | not killed | not started | 0        |
+
   Scenario Outline: a caller that leaves at its deadline beside a stop
     Given a soak in which <trouble> was done to <vm> <before> s before a request
     When a caller leaves at its deadline and a target <ran> it
--- a/tests/steps/test_soak_checks.py
+++ b/tests/steps/test_soak_checks.py
@@ -6,6 +6,7 @@
 import collections
 import random
 import signal
+import subprocess
 import time
 import types
 import typing
@@ -18,12 +19,15 @@
 from soak import clients
 from soak import deployments
 from soak import disturbances
+from soak import memory
 from soak import report
 from soak import run
 from soak import unread
 from soak import world as worlds
+from standins import fleet
 
 BEGAN = 1000.0
+WATCHED_S = 0.5
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
 
@@ -52,7 +56,9 @@
     'a soak in which {trouble} was done beside the SIGTERM of a node'
 )
 def given_term(context: typing.Any, trouble: str) -> None:
+    trouble, _, place = trouble.partition(' at its ')
     vm = {'busy': '*', 'crash': 'target-vm'}.get(trouble, 'caller-vm')
+    vm = f'{place}-vm' if place else vm
     context.world = _world(
         worlds.Event('term', 'caller-vm', BEGAN, BEGAN + 3),
         worlds.Event(trouble, vm, BEGAN, BEGAN + 1.5),
@@ -681,3 +687,50 @@
 @behave.then('it says that {service} has no VM')
 def then_said(context: typing.Any, service: str) -> None:
     assert service in context.said, context.said
+
+
+@behave.given('a soak with a node that {stops}')
+def given_node(context: typing.Any, stops: str) -> None:
+    processes = context.run(
+        context.stack.enter_async_context(fleet.Fleet.open())
+    )
+    node = processes.start('vm-1', '-c', 'input()', stdin=subprocess.PIPE)
+    (processes.folder / 'vm-1.log').touch()
+    context.findings = []
+    context.world = worlds.World(processes)
+    context.world.vms['vm-1'] = types.SimpleNamespace(node=node)
+    context.world.stopping = {'vm-1'} if stops == 'stops' else set()
+
+
+@behave.when('a node may use {megabytes:d} MB and its memory is watched')
+def when_watched(context: typing.Any, megabytes: int) -> None:
+    context.world.memory_mb = megabytes
+
+    async def act() -> None:
+        until = asyncio.Event()
+        watching = asyncio.create_task(memory.watch(context.world, until))
+        await asyncio.sleep(WATCHED_S)
+        until.set()
+        await watching
+
+    with mock.patch.object(
+        worlds.World, 'start_node', autospec=True
+    ) as start_node:
+        context.run(act())
+    context.starts = start_node.call_args_list
+
+
+@behave.then(
+    'it was {ended} and {started}, and the soak finds {count:d} problems'
+)
+def then_ended(
+    context: typing.Any, ended: str, started: str, count: int
+) -> None:
+    code = context.world.vms['vm-1'].node.popen.poll()
+    assert code == (-signal.SIGKILL if ended == 'killed' else None), code
+    expected = (
+        [mock.call(context.world, 'vm-1')] if started == 'started' else []
+    )
+    assert context.starts == expected, context.starts
+    assert context.world.peaks_kb['vm-1'] > 0
+    then_problems(context, count)
