--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -33,6 +33,12 @@
     When a body grows to 3 MB
     Then it is given up, and no other
 
+  Scenario: a whole body that finds no room displaces no other
+    Given a budget of 16 MB with bodies of 4, 6, 4 MB that grow
+    When room is asked for whole bodies of 3 MB and of 50 KB
+    Then only the one of 50 KB has room
+    And the bodies that grow are not given up
+
   Scenario: a body that is dropped frees its bytes
     Given a budget of 16 MB with 100 bodies of 50 KB
     When all of them are dropped
@@ -42,3 +48,10 @@
   Scenario: the budget holds for any course of bodies
     When bodies grow, become whole, are moved, released and dropped at random
     Then the budget is never exceeded, and its sums are those of the bodies
+
+  # Guards against bodies of failed calls that nobody needs and that take the
+  # room of others until the garbage collector comes by.
+  Scenario: bodies in reference cycles are freed before others are given up
+    Given a budget of 16 MB that bodies in reference cycles fill
+    When a body grows to 8 MB
+    Then it is not given up
