Cold limit: it holds until the cold time has certainly ended

Cause: a target tells in whole milliseconds for how much longer it is cold. The node held the limit until that time, up to a millisecond too short, and then sent all calls that waited at once, on top of 12 of the second before. When a call ended in that millisecond they arrived at a cold target.

The new scenario fails without the margin (65 arrivals in a second, simulated time), and so does the stateful test, which now tells the cold time in whole milliseconds and lets calls come right before its end.

Calls per second while cold: unchanged, 12 admitted (24 in 2 s under 100 a second).

--- a/tests/admission/test_admission_cold.feature
+++ b/tests/admission/test_admission_cold.feature
@@ -49,5 +49,11 @@
     And calls arrive for it at 100 per second for 0.5 s
     Then in a second between them at least 12 calls arrived
 
+  Scenario: the limit holds in the last millisecond of the cold time
+    Given a target that is cold for 3.0009 s, told in whole ms
+    When calls arrive for it at 100 per second for 2.99 s
+    And 20 calls arrive 0.0005 s before it is warm
+    Then in no second did more than 14 calls arrive at it
+
   Scenario: the limit holds under any course of events
     Then no course of calls, connections, heartbeats, configurations and restarts breaks the limit
--- a/tests/steps/test_admission_cold.py
+++ b/tests/steps/test_admission_cold.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime
+import math
 import types
 import typing
 
@@ -49,6 +50,11 @@
     return per_s * FACTOR + SLACK
 
 
+def whole_ms(seconds: float) -> float:
+    """Return a time as a target tells it, in whole milliseconds."""
+    return math.floor(seconds * 1000) / 1000
+
+
 class Connection:
     """A stub of a connection that records when a call arrives."""
 
@@ -271,6 +277,13 @@
         """Let time pass."""
         self.played.pass_time(seconds)
 
+    @stateful.rule(before_s=strategies.sampled_from([0.0009, 0.0002]))
+    def time_passes_until_the_end(self, before_s: float) -> None:
+        """Let time pass until right before the end of the cold time."""
+        left_s = self.played.cold_end - before_s - self.now
+        if 0.0 < left_s < COLD_S:
+            self.played.pass_time(left_s)
+
     @stateful.rule(cold_s=strategies.floats(0.5, COLD_S))
     def turns_cold(self, cold_s: float) -> None:
         """Let the target turn cold and tell it at once.
@@ -305,7 +318,8 @@
     def node_restarts(self, away_s: float) -> None:
         """Let the node end, start again and resume its target."""
         self.played.restart(away_s)
-        self.played.resume(max(0.0, self.played.cold_end - self.now))
+        left_s = max(0.0, self.played.cold_end - self.now)
+        self.played.resume(whole_ms(left_s))
 
     @stateful.invariant()
     def limit_holds(self) -> None:
@@ -326,7 +340,7 @@
 
     def _tell(self, late_s: float = 0.0) -> None:
         left_s = max(0.0, self.played.cold_end - self.now + late_s)
-        self.played.beat(self.played.sequence, left_s)
+        self.played.beat(self.played.sequence, whole_ms(left_s))
         self.played.sequence += 1
 
     def teardown(self) -> None:
@@ -402,6 +416,21 @@
     context.played.pass_time(1.0)
 
 
+@behave.given('a target that is cold for {cold_s:g} s, told in whole ms')
+def given_told(context: typing.Any, cold_s: float) -> None:
+    given_target(context, 0.0)
+    context.played.cold_end = cold_s
+    context.played.beat(2, whole_ms(cold_s))
+
+
+@behave.when('{count:d} calls arrive {seconds:g} s before it is warm')
+def when_before_end(context: typing.Any, count: int, seconds: float) -> None:
+    played = context.played
+    played.pass_time(played.cold_end - seconds - played.loop.time())
+    played.offer(count)
+    played.pass_time(seconds / 2)
+
+
 @behave.then('in no second did more than {most:d} calls arrive at it')
 def then_most(context: typing.Any, most: int) -> None:
     assert context.played.most() <= most, context.played.most()
