Server: a large reply of which nothing is taken ends after 10 s

A reply that its caller does not read held its memory for as long as the caller liked, and large bodies don't displace it: with a budget of 24 MB and four unread replies of 5.5 MB, uploads of 2 MB got 503 for the 8 s that were looked at.

--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -501,6 +501,27 @@
     context.run(act())
 
 
+@behave.given('a caller may pause for {seconds:d} s in a large reply')
+def given_reply_pause(context: typing.Any, seconds: int) -> None:
+    context.server.bounds.reply_pause_s = seconds
+
+    async def sweep() -> None:
+        context.sweeping = asyncio.create_task(context.server.sweep())
+
+    context.run(sweep())
+    context.stack.callback(lambda: context.sweeping.cancel())
+
+
+@behave.then('the connections of all of them end within {seconds:d} s')
+def then_all_ended(context: typing.Any, seconds: int) -> None:
+    async def act() -> None:
+        async with asyncio.timeout(seconds):
+            while context.server.connections:
+                await asyncio.sleep(0.05)
+
+    context.run(act())
+
+
 @behave.then('the server holds {least:d} to {most:d} replies')
 def then_replies(context: typing.Any, least: int, most: int) -> None:
     count, rest = divmod(replies(context), context.reply_bytes)
