--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -48,7 +48,6 @@
 LARGE_SHARE = 15 / 16
 """Share of the budget that large bodies may use, so that small ones pass."""
 
-
 REQUESTS_SHARE = 5 / 8
 """Share of the budget that the bodies of several requests may use, so that
 the answers of those that have run pass. One alone may use more."""
