--- a/pomelobend/memory/bodies.py
+++ b/pomelobend/memory/bodies.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import io
 import typing
 
 import attrs
@@ -15,6 +14,35 @@
     from collections import abc
 
 
+BLOCK_BYTES = 64 * 1024
+"""Size in which a body is collected. One buffer that grows would be moved
+again and again, and leave holes in the memory of the process."""
+
+
+@attrs.define(eq=False)
+class Blocks:
+    """A body that is being collected, in blocks of one size."""
+
+    whole: list[bytes] = attrs.field(factory=list)
+    tail: bytearray = attrs.field(factory=bytearray)
+
+    def add(self, part: bytes) -> None:
+        """Append a part."""
+        self.tail += part
+        while len(self.tail) >= BLOCK_BYTES:
+            self.whole.append(bytes(self.tail[:BLOCK_BYTES]))
+            del self.tail[:BLOCK_BYTES]
+
+    def join(self) -> bytes:
+        """Return the body."""
+        return b''.join((*self.whole, self.tail))
+
+    def clear(self) -> None:
+        """Free what was collected."""
+        self.whole.clear()
+        self.tail = bytearray()
+
+
 @attrs.frozen(eq=False)
 class Body:
     """A whole body, and the memory that it holds."""
@@ -58,26 +86,26 @@
     errors.AnswerBrokenError
         There was no room for it.
     """
-    buffer = io.BytesIO()
+    blocks = Blocks()
 
     def give_up() -> None:
-        buffer.close()
+        blocks.clear()
         end()
 
     holding = budget.open(budgets.Place.ANSWERS, give_up)
     try:
-        await _fill(buffer, holding, parts, first)
+        await _fill(blocks, holding, parts, first)
     except errors.MemoryFullError as error:
         raise errors.AnswerBrokenError(str(error)) from error
     finally:
         if holding.is_growing:
             holding.release()
-            buffer.close()
-    return Body(buffer.getvalue(), holding)
+            blocks.clear()
+    return Body(blocks.join(), holding)
 
 
 async def _fill(
-    buffer: io.BytesIO,
+    blocks: Blocks,
     holding: budgets.Holding,
     parts: abc.AsyncGenerator[bytes],
     first: bytes,
@@ -89,13 +117,13 @@
     errors.MemoryFullError
     """
     async with contextlib.aclosing(parts):
-        _add(holding, buffer, first)
+        _add(holding, blocks, first)
         async for part in parts:
-            _add(holding, buffer, part)
+            _add(holding, blocks, part)
     holding.grow(0)
     holding.complete()
 
 
-def _add(holding: budgets.Holding, buffer: io.BytesIO, part: bytes) -> None:
+def _add(holding: budgets.Holding, blocks: Blocks, part: bytes) -> None:
     holding.grow(len(part))
-    buffer.write(part)
+    blocks.add(part)
