--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -478,10 +478,18 @@
     async def act() -> None:
         start_calls(context, kind, size, count)
         await asyncio.sleep(SETTLE_S)
+        if not context.guard.is_free.is_set():
+            await pool_steps.until(lambda: has_arrived(context))
 
     context.run(act())
 
 
+def has_arrived(context: typing.Any) -> bool:
+    """Return whether each call has been refused or runs."""
+    ended = sum(task.done() for task in context.calls)
+    return ended + context.guard.running >= len(context.calls)
+
+
 @behave.then(
     '{count:d} of them run and the others are refused as not run for want of '
     'memory'
