--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -232,6 +232,20 @@
     context.seconds = clock.monotonic() - started
 
 
+@behave.when('the target gets a HEAD call')
+def when_head(context: typing.Any) -> None:
+    async def act() -> int:
+        call = attrs.evolve(_call(context.client, 1, 2.0), method='HEAD')
+        return (await context.client.call(call)).status
+
+    context.status = context.run(act())
+
+
+@behave.then('its answer has status {status:d}')
+def then_status(context: typing.Any, status: int) -> None:
+    assert context.status == status, context.status
+
+
 @behave.when('the target gets {count:d} calls at a time')
 def when_called_often(context: typing.Any, count: int) -> None:
     async def act() -> list[bytes | errors.Reason]:
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -82,6 +82,20 @@
     When the target gets a call with a deadline of 20 s
     Then the call ends as lost, well before its deadline
 
+  # Guards against a length that is refused where no body follows.
+  Scenario: an answer to a HEAD with a length beyond the limit is passed on
+    Given an announced body beyond the limit
+    When the target gets a HEAD call
+    Then its answer has status 200
+
+  # Guards against heads of failed connections, which their errors keep until
+  # the garbage collector comes by.
+  Scenario: heads that were broken off take no memory
+    Given an answer with headers of 1 byte without end
+    When the target gets 200 calls in sequence without the garbage collector
+    Then all of them end as lost
+    And at most 24 MiB were held for them at a time
+
   Scenario: an answer up to the limit arrives whole
     Given an answer as large as the limit
     When the target gets a call with a deadline of 20 s
