--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -72,7 +72,7 @@
     ) -> None:
         """Keep a run that has begun, and end a call that waits."""
         now = self.gate.clock.monotonic()
-        has_begun = call in self.gate.expected_ends
+        has_begun = call in self.gate.slots.expected_ends
         if has_begun and now < call.deadline:
             self.tasks.add(task)
         else:
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -43,6 +43,8 @@
     'pomelobend.admission.waiting',
     'pomelobend.membership.member',
     'pomelobend.membership.heartbeat',
+    'pomelobend.admission.registration',
+    'pomelobend.admission.slots',
     'pomelobend.admission.gate',
     'pomelobend.lateness',
     'pomelobend.memory.watch',
--- a/tests/steps/test_admission_overload.py
+++ b/tests/steps/test_admission_overload.py
@@ -71,7 +71,7 @@
         gate_steps.new_gate(context, gate_steps.BEAT, clock)
 
     context.run(start())
-    context.gate.heartbeat_s = math.inf
+    context.gate.registration.heartbeat_s = math.inf
     context.load = load
     per_s = load * gate_steps.BEAT.slots / RUN_S
     context.offered = [
