--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -10,15 +10,14 @@
 import typing
 
 import attrs
-import structlog
+
+from pomelobend import tasks as task_module
 
 if typing.TYPE_CHECKING:
     from pomelobend.admission import gate as gates
     from pomelobend import calls
     from pomelobend.routing import call as call_module
 
-logger = structlog.get_logger('runs')
-
 
 @attrs.define(eq=False)
 class KeptRuns:
@@ -26,12 +25,14 @@
 
     Parameters
     ----------
-    tasks : set of asyncio.Task
-        Calls that run on although nobody waits for them.
+    detached : DetachedCalls
+        Runs that nobody waits for.
     """
 
     gate: gates.Gate
-    tasks: set[asyncio.Task] = attrs.field(factory=set)
+    detached: task_module.DetachedCalls = attrs.field(
+        factory=task_module.DetachedCalls
+    )
 
     @property
     def free(self) -> int:
@@ -74,15 +75,7 @@
         now = self.gate.clock.monotonic()
         has_begun = call in self.gate.slots.expected_ends
         if has_begun and now < call.deadline:
-            self.tasks.add(task)
+            self.detached.add(task)
         else:
             task.cancel()
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.info(
-                'runs: call failed after its caller left',
-                why=str(task.exception()),
-            )
+            task.add_done_callback(task_module.log_failure)
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -79,6 +79,7 @@
     'pomelobend.routing.startup',
     'pomelobend.peers.stream',
     'pomelobend.peers.caller',
+    'pomelobend.tasks',
     'pomelobend.mesh.front',
     'pomelobend.mesh.grace',
     'pomelobend.mesh.incoming',
@@ -118,7 +119,6 @@
     'pomelobend.routing.placement',
     'pomelobend.routing.quarantine',
     'pomelobend.stalls',
-    'pomelobend.tasks',
     'pomelobend.mesh.kept_runs',
     'pomelobend.mesh.node',
 )
