An idle connection holds no longer the block that it read last

An input that was parsed to its end was left as an empty slice, which refers to the whole block that it is a slice of.

Seen to fail first: both examples of "an input of ... is not held once it is parsed", 20 references left for 20 connections.

--- a/pomelobend/turns.py
+++ b/pomelobend/turns.py
@@ -123,3 +123,6 @@
             found = self.parse(piece)
             parts += found
             size = SLICE_BYTES if found > FEW_PARTS else LARGE_SLICE_BYTES
+        if not self.is_waiting:
+            # An empty slice would hold the block that it is a slice of.
+            self.drop()
--- a/tests/steps/test_targets_turns.py
+++ b/tests/steps/test_targets_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import typing
 
 import attrs
@@ -119,3 +120,11 @@
     context.run(_parse_all(context))
     for connection in context.kept:
         assert connection.parsed == connection.data
+
+
+@behave.then('their input is not held once it is parsed')
+def then_not_held(context: typing.Any) -> None:
+    data = context.connections[0].data
+    before = sys.getrefcount(data)
+    context.run(_parse_all(context))
+    assert sys.getrefcount(data) == before, sys.getrefcount(data) - before
--- a/tests/targets/test_targets_turns.feature
+++ b/tests/targets/test_targets_turns.feature
@@ -20,3 +20,13 @@
     Given 20 connections that receive 250000 bytes of 1-byte parts each
     When half of the connections drop their input
     Then the others are parsed in their order
+
+  # Guards against idle connections that keep the last block that they read.
+  Scenario Outline: an input of <what> is not held once it is parsed
+    Given 20 connections that receive 250000 bytes of <each>-byte parts each
+    Then their input is not held once it is parsed
+
+    Examples:
+      | what            | each  |
+      | few parts       | 65536 |
+      | many small ones | 1     |
