An ended connection to a target is freed at once

A connection and its input refer to each other (Intake.parse, on_change), as do the connection and its parser.

The connection now drops its parser and closes its input in connection_lost, after the last of it is parsed.

--- a/pomelobend/turns.py
+++ b/pomelobend/turns.py
@@ -115,6 +115,16 @@
         """Drop what waits."""
         self.rest = memoryview(b'')
 
+    def close(self) -> None:
+        """Drop what waits, and the connection, which has ended.
+
+        The two would refer to each other, and stay until the garbage
+        collector comes by.
+        """
+        self.drop()
+        self.parse = _parse_nothing
+        self.on_change = _ignore_change
+
     def _parse_turn(self) -> None:
         parts, size = 0, SLICE_BYTES
         while self.is_waiting and parts < TURN_PARTS:
@@ -126,3 +136,11 @@
         if not self.is_waiting:
             # An empty slice would hold the block that it is a slice of.
             self.drop()
+
+
+def _parse_nothing(data: memoryview) -> int:
+    return 0
+
+
+def _ignore_change() -> None:
+    return
--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -45,6 +45,10 @@
     'a chunk extension': (CHUNKED + b'5;', BLOCK),
     'a trailer': (CHUNKED + b'5\r\nbells\r\n0\r\nX-Long: ', BLOCK),
     'chunks': (CHUNKED, b'10000\r\n' + BLOCK + b'\r\n'),
+    'chunks after a large head': (
+        HEAD + b'a:\r\n' * 1800 + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + BLOCK + b'\r\n',
+    ),
     'a body until the close': (HEAD + b'\r\n', BLOCK),
     'chunks of 1 byte': (CHUNKED, b'1\r\nb\r\n' * 10_000),
     'chunks of 2 bytes': (CHUNKED, b'2\r\nbb\r\n' * 10_000),
--- a/tests/targets/test_targets_endless.feature
+++ b/tests/targets/test_targets_endless.feature
@@ -96,6 +96,14 @@
     Then all of them end as lost
     And at most 24 MiB were held for them at a time
 
+  # Guards against ended connections that refer to themselves, and so keep the
+  # heads of their answers until the garbage collector comes by.
+  Scenario: heads whose bodies were broken off take no memory
+    Given an answer with chunks after a large head without end
+    When the target gets 200 calls in sequence without the garbage collector
+    Then all of them end as lost
+    And at most 24 MiB were held for them at a time
+
   Scenario: an answer up to the limit arrives whole
     Given an answer as large as the limit
     When the target gets a call with a deadline of 20 s
