--- a/tests/steps/test_targets_endless.py
+++ b/tests/steps/test_targets_endless.py
@@ -198,7 +198,7 @@
     _start(context, answer)
 
 
-def _call(
+def new_call(
     client: target_clients.Client, number: int, deadline_s: float
 ) -> call_module.Call:
     """Return a call with the deadline."""
@@ -221,7 +221,7 @@
     client: target_clients.Client, number: int, deadline_s: float
 ) -> bytes | errors.Reason:
     """Send a call; return the body of its answer, or why there is none."""
-    call = _call(client, number, deadline_s)
+    call = new_call(client, number, deadline_s)
     try:
         return (await client.call(call)).body
     except errors.CallRefusedError as refusal:
@@ -239,7 +239,7 @@
 @behave.when('the target gets a HEAD call')
 def when_head(context: typing.Any) -> None:
     async def act() -> int:
-        call = attrs.evolve(_call(context.client, 1, 2.0), method='HEAD')
+        call = attrs.evolve(new_call(context.client, 1, 2.0), method='HEAD')
         return (await context.client.call(call)).status
 
     context.status = context.run(act())
@@ -379,7 +379,7 @@
     client.buffers_bodies = False
 
     async def act() -> bytes | errors.Reason:
-        call = _call(client, 1, SEQUENCE_DEADLINE_S)
+        call = new_call(client, 1, SEQUENCE_DEADLINE_S)
         answer = await client.call(call)
         async with contextlib.aclosing(answer.remaining_body) as parts:
             await anext(parts)
