Calls to a node that cannot be reached are freed at once

Pool.get waits for a task that several calls share. The task keeps its error, whose traceback has the frames of the call that waited last, and the frame of Pool.get has the task. So each call to a node that did not listen was held with its body until the garbage collector came by.

The step that disables the collector moved to tests/collector.py, as steps of other folders cannot import those of targets without an ambiguity.

--- /dev/null
+++ b/tests/peers/test_peers_freed.feature
@@ -0,0 +1,15 @@
+@uvloop
+Feature: calls that fail between nodes are freed
+
+  # Guards against errors of shared tasks that refer to the calls that wait for
+  # them, and so keep their bodies until the garbage collector comes by.
+  Scenario Outline: calls to a node that cannot be reached are freed at once, <how>
+    Given a node and another one that does not listen
+    When 30 calls are sent to it <how> without the garbage collector
+    Then all of them are refused for peer-unreachable
+    And none of the calls is held
+
+    Examples:
+      | how         |
+      | in sequence |
+      | at a time   |
--- a/tests/steps/test_targets_freed.py
+++ b/tests/steps/test_targets_freed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import typing
 import weakref
 
@@ -10,6 +9,7 @@
 import behave
 
 from pomelobend import errors
+from tests import collector
 from tests.steps import test_targets_endless as endless_steps
 
 if typing.TYPE_CHECKING:
@@ -19,13 +19,6 @@
 BODY = b'bells'
 
 
-def disable_collector(context: typing.Any) -> None:
-    """Run the garbage collector, and then no more in the scenario."""
-    gc.collect()
-    gc.disable()
-    context.stack.callback(gc.enable)
-
-
 async def _upload(*, is_cut: bool) -> abc.AsyncIterator[bytes]:
     yield BODY
     if is_cut:
@@ -56,7 +49,7 @@
         return [await send(number) for number in range(count)]
 
     context.calls = []
-    disable_collector(context)
+    collector.disable(context)
     context.reasons = context.run(act())
 
 
