--- a/tests/peers/test_peers_freed.feature
+++ b/tests/peers/test_peers_freed.feature
@@ -13,3 +13,11 @@
       | how         |
       | in sequence |
       | at a time   |
+
+  # Guards against an error of a connection that is raised to all of its calls,
+  # and so keeps them all while one of them is there.
+  Scenario: calls whose connection has ended are freed at once
+    Given two nodes with a connection between them
+    When 30 calls are sent over it without the garbage collector, and it ends
+    Then all of them are refused for peer-lost
+    And none of the calls is held
--- a/tests/steps/test_peers_freed.py
+++ b/tests/steps/test_peers_freed.py
@@ -55,3 +55,24 @@
     collector.disable(context)
     context.reasons = context.run(act())
     context.run(asyncio.sleep(SETTLE_S))
+
+
+@behave.when(
+    '{count:d} calls are sent over it without the garbage collector,'
+    ' and it ends'
+)
+def when_ended(context: typing.Any, count: int) -> None:
+    async def act() -> list[errors.Reason | None]:
+        sent = [
+            asyncio.create_task(_send(context, number))
+            for number in range(count)
+        ]
+        await pool_steps.until(lambda: len(context.accepted.serving) == count)
+        context.first.link.abort()
+        return await asyncio.gather(*sent)
+
+    context.address = context.accepting.hello.address
+    context.calls = []
+    collector.disable(context)
+    context.reasons = context.run(act())
+    context.run(asyncio.sleep(SETTLE_S))
