--- a/tests/peers/test_peers_freed.feature
+++ b/tests/peers/test_peers_freed.feature
@@ -21,3 +21,10 @@
     When 30 calls are sent over it without the garbage collector, and it ends
     Then all of them are refused for peer-lost
     And none of the calls is held
+
+  # Guards against ended connections that refer to themselves, and so keep the
+  # messages that nobody has read until the garbage collector comes by.
+  Scenario: connections that have ended are freed at once
+    Given two nodes with a connection between them
+    When 10 connections end without the garbage collector, with calls in flight
+    Then none of the connections is held
--- a/tests/steps/test_peers_freed.py
+++ b/tests/steps/test_peers_freed.py
@@ -76,3 +76,40 @@
     collector.disable(context)
     context.reasons = context.run(act())
     context.run(asyncio.sleep(SETTLE_S))
+
+
+@behave.when(
+    '{count:d} connections end without the garbage collector,'
+    ' with calls in flight'
+)
+def when_connections_end(context: typing.Any, count: int) -> None:
+    """End the connections from both ends by turns, opening a new one each."""
+    pools = (context.dialling, context.accepting)
+    del context.first, context.accepted
+
+    async def end_one(number: int) -> None:
+        connection = await context.dialling.get(context.address)
+        await pool_steps.until(lambda: context.accepting.all())
+        (accepted,) = context.accepting.all()
+        call = asyncio.create_task(_send(context, number))
+        await pool_steps.until(lambda: accepted.serving)
+        context.ended += [weakref.ref(connection), weakref.ref(accepted)]
+        (connection, accepted)[number % 2].link.abort()
+        await call
+        await pool_steps.until(lambda: not any(pool.all() for pool in pools))
+
+    async def act() -> None:
+        for number in range(count):
+            await end_one(number)
+        await asyncio.sleep(SETTLE_S)
+
+    context.address = context.accepting.hello.address
+    context.calls, context.ended = [], []
+    collector.disable(context)
+    context.run(act())
+
+
+@behave.then('none of the connections is held')
+def then_connections_freed(context: typing.Any) -> None:
+    held = sum(connection() is not None for connection in context.ended)
+    assert held == 0, f'{held} of {len(context.ended)}'
