Refused calls are freed at once

What callers saw: nothing yet; from a review of failed connections. Each call that a target or node had refused was held, with its body and the bytes of it in the budget of the node, until the garbage collector came by: a task keeps its error, the error its traceback, and the traceback the frames that hold the task.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -198,11 +198,15 @@
         ------
         TimeoutError
         """
-        with contextlib.suppress(TimeoutError):
-            async with self.timeout(deadline, last):
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with self.timeout(deadline, last):
+                    return await asyncio.shield(task)
+            async with limits.Limit(0.0):
                 return await asyncio.shield(task)
-        async with limits.Limit(0.0):
-            return await asyncio.shield(task)
+        finally:
+            # A failure refers to this frame by its traceback.
+            del task
 
     @contextlib.asynccontextmanager
     async def timeout(
--- a/pomelobend/routing/sends.py
+++ b/pomelobend/routing/sends.py
@@ -84,7 +84,11 @@
                 return answer
         if newest.done():
             self.running.discard(newest)
-            return newest.result()
+            try:
+                return newest.result()
+            finally:
+                # A refusal refers to this frame by its traceback.
+                del newest
         raise SilentNodeError(
             errors.Reason.PEER_LOST, errors.Run.UNKNOWN, 'the node is silent'
         )
