Heads and waiting requests are held within the budget

What callers saw: 60 connections that pipeline requests of 900 headers took over 100 MB that no budget counted; a node with little memory ends.

Cause: a header is counted by its text, but takes some 200 bytes besides. All requests of a read were parsed and queued whatever their number, as MAX_PIPELINED only stopped the next read. The input that waits for its turn was not counted either.

Change: a request has one holding for its head (text, 512 bytes, 200 a header) and its body, which follows its call. An ordinary head (up to 4 KiB, no body, nothing before it on its connection) counts as part of its connection. Only what still comes is refused: with 503 and Retry-After, after the replies to the earlier requests of its connection, and without having run. Only large holdings are kept in the set of those that may be given up.

Two existing steps change: the holding of a call includes its head, so "its body is held" asks for exactly the body and the head that was sent, and "its answer is held as a reply" drops the calls that the test itself keeps.

--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -15,6 +15,20 @@
     from pomelobend.memory import budget as budgets
 
 
+REQUEST_BYTES = 512
+"""Memory of a request besides its text and headers."""
+
+HEADER_BYTES = 200
+"""Memory of a header besides its text: two strings, a pair, a reference."""
+
+HEADERS_STEP = 16
+"""Headers after which what has come of a head is counted before its end."""
+
+ORDINARY_HEAD_BYTES = 4 * 1024
+"""Memory of the head of a request that counts as part of its connection, if
+the request has no body and does not wait for another one."""
+
+
 @attrs.define(eq=False)
 class Incoming:
     """A request that is being received.
@@ -23,13 +37,15 @@
     ----------
     began_at, byte_at : float
         When its first bytes came, and when its last ones were read.
+    holding : Holding or None
+        The bytes of its head and body; None while it is an ordinary head.
     size : int
-        Size of its head.
+        Size of the text of its head.
     unparsed_size : int
         Size of the parts that came before the end of its head.
     body_size : int
-    holding : Holding or None
-        The bytes of its body, if it has one.
+    head_bytes : int
+        The part of the holding that its head takes.
     is_overdue : bool
         Whether its time has ended, and what waits in the kernel is read.
     """
@@ -44,6 +60,7 @@
     body: io.BytesIO = attrs.field(factory=io.BytesIO)
     body_size: int = 0
     holding: budgets.Holding | None = None
+    head_bytes: int = 0
     is_overdue: bool = False
 
     def add(self, part: bytes) -> None:
@@ -54,19 +71,50 @@
         errors.RequestMalformedError
             The body was given up, as its memory is needed for others.
         """
-        try:
-            self.holding.grow(len(part))
-        except errors.MemoryFullError as error:
-            raise errors.RequestMalformedError(503, str(error)) from error
+        self._hold(len(part) + (0 if self.head_bytes else self._count_head()))
         self.body.write(part)
         self.body_size += len(part)
 
+    @property
+    def is_ordinary(self) -> bool:
+        """Return whether the head takes no more than an ordinary one."""
+        return self._memory_bytes <= ORDINARY_HEAD_BYTES
+
+    @property
+    def _memory_bytes(self) -> int:
+        """Return what the head takes."""
+        return REQUEST_BYTES + self.size + HEADER_BYTES * len(self.headers)
+
+    def hold_head(self) -> None:
+        """Hold what the head takes so far.
+
+        Raises
+        ------
+        errors.RequestMalformedError
+            The request was given up, as its memory is needed for others.
+        """
+        self._hold(self._count_head())
+
     def drop(self) -> None:
-        """Free the bytes of a body that is not needed."""
+        """Free the bytes of a request that is not needed."""
         self.body.close()
         if self.holding is not None:
             self.holding.release()
 
+    def _count_head(self) -> int:
+        """Return what of the head was not counted before."""
+        more = self._memory_bytes - self.head_bytes
+        self.head_bytes += more
+        return more
+
+    def _hold(self, size: int) -> None:
+        try:
+            self.holding.grow(size)
+        except errors.MemoryFullError as error:
+            raise errors.RequestMalformedError(503, str(error)) from error
+        if self.body.closed:
+            raise errors.RequestMalformedError(503, 'no memory for the input')
+
     def check_framing(self) -> None:
         """Reject a head that two HTTP parsers could interpret differently.
 
--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -48,6 +48,11 @@
 LARGE_SHARE = 15 / 16
 """Share of the budget that large bodies may use, so that small ones pass."""
 
+SHORT_SHARE = 1 / 2
+"""Share of the budget from which on memory is short: no more is read from
+connections whose requests wait. It is less than what requests may use, so
+that reading stops before requests are refused."""
+
 REQUESTS_SHARE = 5 / 8
 """Share of the budget that the bodies of several requests may use, so that
 the answers of those that have run pass. One alone may use more."""
@@ -142,6 +147,8 @@
         The used bytes.
     given_up : Counter of Place
         Number of bodies that were given up.
+    holdings : WeakSet of Holding
+        Those of large bodies.
     collect_garbage : callable
         Frees what calls that failed have left in reference cycles, such as
         those of errors and the frames in their tracebacks. The interpreter
@@ -175,15 +182,18 @@
         """Return the part of the budget that large bodies may use."""
         return round(LARGE_SHARE * self.max_bytes)
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether no more should be read of what can wait."""
+        return self.used_bytes > SHORT_SHARE * self.max_bytes
+
     def open(
         self,
         place: Place,
         on_give_up: abc.Callable[[], None] | None = None,
     ) -> Holding:
         """Return a holding for a body that is being received."""
-        holding = Holding(self, place, on_give_up)
-        self.holdings.add(holding)
-        return holding
+        return Holding(self, place, on_give_up)
 
     def hold(self, place: Place, size: int) -> Holding:
         """Return a holding for a body that is whole already.
@@ -251,6 +261,8 @@
 
     def _add(self, holding: Holding, size: int) -> None:
         holding.size += size
+        if holding.size > SMALL_BYTES:
+            self.holdings.add(holding)
         self.taken_bytes += size
         self.used_bytes += size
         self.by_place[holding.place] += size
--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -179,3 +179,51 @@
     Examples: of uvloop
       | loop   |
       | uvloop |
+
+  # Guards against headers and waiting requests that take far more memory than
+  # their text, and that nobody counts.
+  Scenario Outline: heads that wait are held within the budget of <size> MB, <loop>
+    Given an HTTP server with a budget of <size> MB that answers requests with many headers later
+    When 60 callers send 27 requests of 900 headers each at once
+    Then the memory grew by less than the budget allows
+    And a small request is answered with 200
+    When the server answers
+    Then <refused> of them were refused, all others have run, and no refused one
+    And the server holds nothing
+
+    Examples: of asyncio
+      | size | refused | loop    |
+      | 16   | some    | asyncio |
+      | 64   | none    | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | size | refused | loop   |
+      | 16   | some    | uvloop |
+      | 64   | none    | uvloop |
+
+  # Guards against very many small requests that wait on a connection.
+  Scenario Outline: requests behind a slow one wait unread, <loop>
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When a caller sends 5000 small requests at once
+    Then the server holds at most 200 of them and the text of the others
+    When the server answers
+    Then all 5000 are answered with 200
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  # Guards against calls that keep their headers without their caller.
+  Scenario: the head of a call that goes on without its caller is held
+    Given a call that is not idempotent with 900 headers
+    When its caller leaves
+    Then its head is held
+    When the call ends
+    Then the server holds nothing
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import gc
 import socket
+import sys
 import time
 import tracemalloc
 import typing
@@ -16,6 +18,7 @@
 
 from pomelobend import calls
 from pomelobend import clock as clocks
+from pomelobend.http import incoming
 from pomelobend.http import message
 from pomelobend.http import server as servers
 from pomelobend.memory import budget as budgets
@@ -32,6 +35,10 @@
 PART = b'x' * 64 * KB
 MAX_S = 10.0
 RECEIVE_BYTES = 64 * KB
+HEAD_END = b'\r\n\r\n'
+MANY_HEADERS = 100
+SETTLE_S = 0.5
+REQUEST_LEAST_BYTES = 200
 
 
 @attrs.define(eq=False)
@@ -441,8 +448,12 @@
 
 @behave.then('its body is held')
 def then_held(context: typing.Any) -> None:
+    headers = {'host': 'a.example', 'content-length': str(context.body_bytes)}
+    head_bytes = incoming.REQUEST_BYTES + len('/a/')
+    for pair in headers.items():
+        head_bytes += len(': '.join(pair) + '\r\n') + incoming.HEADER_BYTES
     held = context.server.budget.by_place[budgets.Place.REQUESTS]
-    assert held == context.body_bytes, held
+    assert held == context.body_bytes + head_bytes, (held, head_bytes)
 
 
 @behave.when('the call ends')
@@ -653,6 +664,7 @@
 
 @behave.then('its answer is held as a reply')
 def then_held_reply(context: typing.Any) -> None:
+    context.delivery.calls.clear()
     budget = context.server.budget
     assert replies(context) == context.reply_bytes, budget.by_place
     assert budget.used_bytes == context.reply_bytes, budget.by_place
@@ -734,3 +746,201 @@
     assert context.run(context.caller.read_reply()) == 200
     assert context.handler.body_bytes == [1, size], context.handler.body_bytes
     assert not context.connection.is_paused
+
+
+@attrs.define(eq=False)
+class Selective:
+    """Replies with status 200, to requests with many headers once it may.
+
+    Parameters
+    ----------
+    may_answer : asyncio.Event
+    large : int
+        Number of requests with many headers that came.
+    """
+
+    may_answer: asyncio.Event
+    large: int = 0
+
+    async def answer(self, request: message.Request) -> message.Reply:
+        """Answer a request."""
+        if len(request.headers) >= MANY_HEADERS:
+            self.large += 1
+            await self.may_answer.wait()
+        return message.Reply(200)
+
+
+@attrs.define(eq=False)
+class Sender:
+    """A caller that sends bytes without a buffer of its own.
+
+    Parameters
+    ----------
+    received : bytearray
+        What was read of the replies.
+    """
+
+    client: socket.socket
+    received: bytearray = attrs.field(factory=bytearray)
+    sending: asyncio.Task | None = None
+
+    @classmethod
+    def open(cls, context: typing.Any, data: bytes) -> Sender:
+        """Connect to the server and begin to send."""
+        sender = cls(socket.create_connection(('127.0.0.1', context.port)))
+        context.stack.callback(sender.client.close)
+        sender.client.setblocking(False)
+        sender.sending = asyncio.create_task(sender._send(data))
+        return sender
+
+    async def _send(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        # What is refused may be cut.
+        with contextlib.suppress(ConnectionError):
+            await loop.sock_sendall(self.client, data)
+
+    async def read(self, count: int) -> list[int]:
+        """Return the statuses of replies, up to a count or the end."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(3 * MAX_S):
+            while self.received.count(HEAD_END) < count:
+                data = await loop.sock_recv(self.client, MB)
+                if not data:
+                    break
+                self.received += data
+        heads = bytes(self.received).split(HEAD_END)[:-1]
+        for head in heads:
+            if head.startswith(b'HTTP/1.1 503 '):
+                assert b'\r\nretry-after: 1' in head, head
+        return [int(head.split()[1]) for head in heads]
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB that answers requests with'
+    ' many headers later'
+)
+def given_selective(context: typing.Any, size: int) -> None:
+    context.may_answer = asyncio.Event()
+    context.handler = Selective(context.may_answer)
+    start_server(context, context.handler.answer, size * MB)
+
+
+async def settled(read: typing.Callable[[], typing.Any]) -> None:
+    """Wait until a value has not changed for a while."""
+    async with asyncio.timeout(6 * MAX_S):
+        last, since = read(), time.monotonic()
+        while time.monotonic() - since < SETTLE_S:
+            await asyncio.sleep(0.05)
+            if read() != last:
+                last, since = read(), time.monotonic()
+
+
+@behave.when(
+    '{count:d} callers send {each:d} requests of {headers:d} headers each at'
+    ' once'
+)
+def when_heads(
+    context: typing.Any, count: int, each: int, headers: int
+) -> None:
+    context.each = each
+    text = b''.join(b'x-%d: %d\r\n' % (n, n) for n in range(headers - 1))
+    head = b'GET /a/ HTTP/1.1\r\n%b%b\r\n' % (server_steps.HOST, text)
+    data = head * each
+
+    async def act() -> None:
+        gc.collect()
+        tracemalloc.start()
+        try:
+            context.senders = []
+            for _ in range(count):
+                context.senders.append(Sender.open(context, data))
+                await asyncio.sleep(0)
+            await settled(lambda: tracemalloc.get_traced_memory()[0] // MB)
+            _, context.peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.run(act())
+
+
+@behave.then('the memory grew by less than the budget allows')
+def then_within(context: typing.Any) -> None:
+    most = budgets.COPIES * context.server.budget.max_bytes
+    assert context.peak_bytes < most, (context.peak_bytes, most)
+
+
+@behave.then(
+    '{refused} of them were refused, all others have run, and no refused one'
+)
+def then_refused(context: typing.Any, refused: str) -> None:
+    async def act() -> list[list[int]]:
+        return await asyncio.gather(
+            *(sender.read(context.each) for sender in context.senders)
+        )
+
+    found = context.run(act())
+    ran = sum(statuses.count(200) for statuses in found)
+    assert context.handler.large == ran, (context.handler.large, ran)
+    for statuses in found:
+        expected = [200] * context.each
+        if statuses != expected:
+            ran_here = statuses.count(200)
+            assert statuses == [200] * ran_here + [503], statuses
+    has_refused = any(503 in statuses for statuses in found)
+    assert has_refused == (refused == 'some'), found
+    assert ran, found
+
+
+@behave.when('a caller sends {count:d} small requests at once')
+def when_many(context: typing.Any, count: int) -> None:
+    text = b'GET /a/ HTTP/1.1\r\n%b\r\n' % server_steps.HOST
+    context.text_bytes = len(text) * count
+
+    async def act() -> None:
+        context.sender = Sender.open(context, text * count)
+        await settled(lambda: context.server.budget.used_bytes)
+        (context.connection,) = context.server.connections
+
+    context.run(act())
+
+
+@behave.then(
+    'the server holds at most {most:d} of them and the text of the others'
+)
+def then_few(context: typing.Any, most: int) -> None:
+    count = len(context.connection.queue)
+    assert 0 < count <= most, count
+    used = context.server.budget.used_bytes
+    assert used <= context.text_bytes + most * KB, used
+    assert used > count * REQUEST_LEAST_BYTES, used
+
+
+@behave.then('all {count:d} are answered with {status:d}')
+def then_all(context: typing.Any, count: int, status: int) -> None:
+    found = context.run(context.sender.read(count))
+    assert found == [status] * count, (len(found), set(found))
+
+
+@behave.given('a call that is not idempotent with {count:d} headers')
+def given_call_of_headers(context: typing.Any, count: int) -> None:
+    start_front(context, 0)
+    text = b''.join(b'x-%d: %d\r\n' % (n, n) for n in range(count - 1))
+    head = b'POST /a/ HTTP/1.1\r\n%b%b\r\n' % (server_steps.HOST, text)
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send(head)
+        await until(lambda: len(context.delivery.calls) == 1)
+
+    context.run(act())
+
+
+@behave.then('its head is held')
+def then_head_held(context: typing.Any) -> None:
+    (call,) = context.delivery.calls
+    least = sum(
+        sys.getsizeof(pair) + sys.getsizeof(pair[0]) + sys.getsizeof(pair[1])
+        for pair in call.headers
+    )
+    held = context.server.budget.by_place[budgets.Place.REQUESTS]
+    assert least <= held <= 2 * least, (held, least)
