A large reply reaches a caller that reads slowly

What callers saw: a caller that reads 160 KB/s of a reply of 12 MB was cut off after 3,950,808 bytes, with a limit of 2 s on pauses (10 s in nodes).

Cause: it counted as taking nothing while the write buffer of the node did not change. The kernel takes more only once much of its own buffer, several MB, is free.

--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -227,3 +227,22 @@
     Then its head is held
     When the call ends
     Then the server holds nothing
+
+  # Guards against callers that read and are given up, as the kernel takes more
+  # of a reply only once much of its buffer is free.
+  Scenario Outline: replies of <size> KB reach a caller that reads slowly, <loop>
+    Given an HTTP server with a budget of 64 MB and replies of <size> KB
+    And a caller may pause for 2 s in a large reply
+    When a caller of <count> replies reads 32 KB every 0.2 s for 6 s, then faster
+    Then it has received all of them
+
+    Examples: of asyncio
+      | size  | count | loop    |
+      | 60    | 150   | asyncio |
+      | 12288 | 1     | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | size  | count | loop   |
+      | 60    | 150   | uvloop |
+      | 12288 | 1     | uvloop |
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -466,7 +466,14 @@
     'an HTTP server with a budget of {size:d} MB and replies of {each:d} MB'
 )
 def given_replies(context: typing.Any, size: int, each: int) -> None:
-    context.reply_bytes = each * MB
+    given_small_replies(context, size, each * KB)
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB and replies of {each:d} KB'
+)
+def given_small_replies(context: typing.Any, size: int, each: int) -> None:
+    context.reply_bytes = each * KB
     context.logs = context.stack.enter_context(testing.capture_logs())
 
     async def answer(request: message.Request) -> message.Reply:
@@ -512,6 +519,69 @@
     context.run(act())
 
 
+@behave.when('{count:d} callers send {each:d} requests each and do not read')
+def when_small_unread(context: typing.Any, count: int, each: int) -> None:
+    async def act() -> None:
+        context.sockets = []
+        for _ in range(count):
+            client = await asyncio.to_thread(open_socket, context)
+            client.sendall(request(1) * each)
+            context.sockets.append(client)
+        await settled(lambda: context.server.unsent_bytes)
+
+    context.count = count
+    context.run(act())
+
+
+@behave.then('the server holds all that it has not sent, which is not nothing')
+def then_unsent(context: typing.Any) -> None:
+    unsent = context.server.unsent_bytes
+    assert unsent, unsent
+    assert replies(context) >= unsent, (replies(context), unsent)
+
+
+@behave.then(
+    'callers that do not read have made room for them, and no more than that'
+)
+def then_made_room(context: typing.Any) -> None:
+    budget = context.server.budget
+    assert not any(holding.is_given_up for holding in context.small)
+    assert 0 < len(context.server.connections) < context.count
+    assert budget.used_bytes <= budget.max_bytes
+    assert budget.used_bytes > budget.max_bytes - 4 * context.reply_bytes
+
+
+@behave.when(
+    'a caller of {count:d} replies reads 32 KB every 0.2 s for {seconds:d} s,'
+    ' then faster'
+)
+def when_very_slow(context: typing.Any, count: int, seconds: int) -> None:
+    client = open_socket(context)
+    context.expected_bytes = count * context.reply_bytes
+
+    def read() -> int:
+        received = 0
+        client.sendall(request(1) * count)
+        begun = time.monotonic()
+        while received < context.expected_bytes:
+            is_slow = time.monotonic() - begun < seconds
+            data = client.recv(32 * KB if is_slow else MB)
+            if not data:
+                break
+            received += len(data)
+            if is_slow:
+                time.sleep(0.2)
+        return received
+
+    context.received_bytes = context.run(asyncio.to_thread(read))
+
+
+@behave.then('it has received all of them')
+def then_received_all(context: typing.Any) -> None:
+    found = context.received_bytes
+    assert found >= context.expected_bytes, (found, context.expected_bytes)
+
+
 @behave.given('a caller may pause for {seconds:d} s in a large reply')
 def given_reply_pause(context: typing.Any, seconds: int) -> None:
     context.server.bounds.reply_pause_s = seconds
