--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -179,3 +179,125 @@
     Examples: of uvloop
       | loop   |
       | uvloop |
+
+  # Guards against headers and waiting requests that take far more memory than
+  # their text, and that nobody counts.
+  Scenario Outline: heads that wait are held within the budget of <size> MB, <loop>
+    Given an HTTP server with a budget of <size> MB that answers requests with many headers later
+    When 60 callers send 27 requests of 900 headers each at once
+    Then the memory grew by less than the budget allows
+    And a small request is answered with 200
+    When the server answers
+    Then <refused> of them were refused, all others have run, and no refused one
+    And the server holds nothing
+
+    Examples: of asyncio
+      | size | refused | loop    |
+      | 16   | some    | asyncio |
+      | 64   | none    | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | size | refused | loop   |
+      | 16   | some    | uvloop |
+      | 64   | none    | uvloop |
+
+  # Guards against very many small requests that wait on a connection.
+  Scenario Outline: requests behind a slow one wait unread, <loop>
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When a caller sends 5000 small requests at once
+    Then the server holds at most 200 of them and the text of the others
+    When the server answers
+    Then all 5000 are answered with 200
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  # Guards against requests that wait unread and are lost with the end of the
+  # stream of their caller.
+  Scenario Outline: requests wait unread whose caller sends no more, <loop>
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When a caller sends 300 small requests at once
+    And it closes its sending side
+    And the server answers
+    Then all 300 are answered with 200
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  # Guards against calls that keep their headers without their caller.
+  Scenario: the head of a call that goes on without its caller is held
+    Given a call that is not idempotent with 900 headers
+    When its caller leaves
+    Then its head is held
+    When the call ends
+    Then the server holds nothing
+
+  # Guards against small replies that nobody reads, and that nobody counts.
+  Scenario Outline: small replies that callers do not read are held, <loop>
+    Given an HTTP server with a budget of 8 MB and replies of 60 KB
+    And a caller may pause for 1 s in a large reply
+    When 20 callers send 150 requests each and do not read
+    Then the server holds all that it has not sent, which is not nothing
+    And the connections of all of them end within 4 s
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  Scenario Outline: small replies that nobody reads make room for others, <loop>
+    Given an HTTP server with a budget of 4 MB and replies of 60 KB
+    When 20 callers send 150 requests each and do not read
+    And small bodies of 50 KB come one by one and need 2 MB
+    Then callers that do not read have made room for them, and no more than that
+    And a small request is answered with 200
+    When all callers leave
+    Then the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
+  # Guards against callers that read and are given up, as the kernel takes more
+  # of a reply only once much of its buffer is free.
+  Scenario Outline: replies of <size> KB reach a caller that reads slowly, <loop>
+    Given an HTTP server with a budget of 64 MB and replies of <size> KB
+    And a caller may pause for 2 s in a large reply
+    When a caller of <count> replies reads 32 KB every 0.2 s for 6 s, then faster
+    Then it has received all of them
+
+    Examples: of asyncio
+      | size  | count | loop    |
+      | 60    | 150   | asyncio |
+      | 12288 | 1     | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | size  | count | loop   |
+      | 60    | 150   | uvloop |
+      | 12288 | 1     | uvloop |
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import gc
 import socket
+import sys
 import time
 import tracemalloc
 import typing
@@ -16,6 +18,7 @@
 
 from pomelobend import calls
 from pomelobend import clock as clocks
+from pomelobend.http import incoming
 from pomelobend.http import message
 from pomelobend.http import server as servers
 from pomelobend.memory import budget as budgets
@@ -32,6 +35,10 @@
 PART = b'x' * 64 * KB
 MAX_S = 10.0
 RECEIVE_BYTES = 64 * KB
+HEAD_END = b'\r\n\r\n'
+MANY_HEADERS = 100
+SETTLE_S = 0.5
+REQUEST_LEAST_BYTES = 200
 
 
 @attrs.define(eq=False)
@@ -441,8 +448,12 @@
 
 @behave.then('its body is held')
 def then_held(context: typing.Any) -> None:
+    headers = {'host': 'a.example', 'content-length': str(context.body_bytes)}
+    head_bytes = incoming.REQUEST_BYTES + len('/a/')
+    for pair in headers.items():
+        head_bytes += len(': '.join(pair) + '\r\n') + incoming.HEADER_BYTES
     held = context.server.budget.by_place[budgets.Place.REQUESTS]
-    assert held == context.body_bytes, held
+    assert held == context.body_bytes + head_bytes, (held, head_bytes)
 
 
 @behave.when('the call ends')
@@ -455,7 +466,14 @@
     'an HTTP server with a budget of {size:d} MB and replies of {each:d} MB'
 )
 def given_replies(context: typing.Any, size: int, each: int) -> None:
-    context.reply_bytes = each * MB
+    given_small_replies(context, size, each * KB)
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB and replies of {each:d} KB'
+)
+def given_small_replies(context: typing.Any, size: int, each: int) -> None:
+    context.reply_bytes = each * KB
     context.logs = context.stack.enter_context(testing.capture_logs())
 
     async def answer(request: message.Request) -> message.Reply:
@@ -501,6 +519,88 @@
     context.run(act())
 
 
+@behave.when('{count:d} callers send {each:d} requests each and do not read')
+def when_small_unread(context: typing.Any, count: int, each: int) -> None:
+    async def act() -> None:
+        context.sockets = []
+        for _ in range(count):
+            client = await asyncio.to_thread(open_socket, context)
+            client.sendall(request(1) * each)
+            context.sockets.append(client)
+        await settled(lambda: context.server.unsent_bytes)
+
+    context.count = count
+    context.run(act())
+
+
+@behave.then('the server holds all that it has not sent, which is not nothing')
+def then_unsent(context: typing.Any) -> None:
+    unsent = context.server.unsent_bytes
+    assert unsent, unsent
+    assert replies(context) >= unsent, (replies(context), unsent)
+
+
+@behave.when(
+    'small bodies of {each:d} KB come one by one and need {size:d} MB'
+)
+def when_small_one_by_one(context: typing.Any, each: int, size: int) -> None:
+    context.small = []
+
+    async def act() -> None:
+        for _ in range(size * KB // each):
+            holding = context.server.budget.open(budgets.Place.REQUESTS)
+            context.small.append(holding)
+            holding.grow(each * KB)
+            holding.complete()
+            await asyncio.sleep(0.01)
+
+    context.run(act())
+
+
+@behave.then(
+    'callers that do not read have made room for them, and no more than that'
+)
+def then_made_room(context: typing.Any) -> None:
+    budget = context.server.budget
+    assert not any(holding.is_given_up for holding in context.small)
+    count = len(context.server.connections)
+    assert 0 < count < context.count, count
+    least = budget.max_bytes - 4 * context.reply_bytes
+    assert least < budget.used_bytes <= budget.max_bytes, budget.by_place
+    context.small.clear()
+
+
+@behave.when(
+    'a caller of {count:d} replies reads 32 KB every 0.2 s for {seconds:d} s,'
+    ' then faster'
+)
+def when_very_slow(context: typing.Any, count: int, seconds: int) -> None:
+    client = open_socket(context)
+    context.expected_bytes = count * context.reply_bytes
+
+    def read() -> int:
+        received = 0
+        client.sendall(request(1) * count)
+        begun = time.monotonic()
+        while received < context.expected_bytes:
+            is_slow = time.monotonic() - begun < seconds
+            data = client.recv(32 * KB if is_slow else MB)
+            if not data:
+                break
+            received += len(data)
+            if is_slow:
+                time.sleep(0.2)
+        return received
+
+    context.received_bytes = context.run(asyncio.to_thread(read))
+
+
+@behave.then('it has received all of them')
+def then_received_all(context: typing.Any) -> None:
+    found = context.received_bytes
+    assert found >= context.expected_bytes, (found, context.expected_bytes)
+
+
 @behave.given('a caller may pause for {seconds:d} s in a large reply')
 def given_reply_pause(context: typing.Any, seconds: int) -> None:
     context.server.bounds.reply_pause_s = seconds
@@ -653,6 +753,7 @@
 
 @behave.then('its answer is held as a reply')
 def then_held_reply(context: typing.Any) -> None:
+    context.delivery.calls.clear()
     budget = context.server.budget
     assert replies(context) == context.reply_bytes, budget.by_place
     assert budget.used_bytes == context.reply_bytes, budget.by_place
@@ -734,3 +835,216 @@
     assert context.run(context.caller.read_reply()) == 200
     assert context.handler.body_bytes == [1, size], context.handler.body_bytes
     assert not context.connection.is_paused
+
+
+@attrs.define(eq=False)
+class Selective:
+    """Replies with status 200, to requests with many headers once it may.
+
+    Parameters
+    ----------
+    may_answer : asyncio.Event
+    large : int
+        Number of requests with many headers that came.
+    """
+
+    may_answer: asyncio.Event
+    large: int = 0
+
+    async def answer(self, request: message.Request) -> message.Reply:
+        """Answer a request."""
+        if len(request.headers) >= MANY_HEADERS:
+            self.large += 1
+            await self.may_answer.wait()
+        return message.Reply(200)
+
+
+@attrs.define(eq=False)
+class Sender:
+    """A caller that sends bytes without a buffer of its own.
+
+    Parameters
+    ----------
+    received : bytearray
+        What was read of the replies.
+    """
+
+    client: socket.socket
+    received: bytearray = attrs.field(factory=bytearray)
+    sending: asyncio.Task | None = None
+
+    @classmethod
+    def open(cls, context: typing.Any, data: bytes) -> Sender:
+        """Connect to the server and begin to send."""
+        sender = cls(socket.create_connection(('127.0.0.1', context.port)))
+        context.stack.callback(sender.client.close)
+        sender.client.setblocking(False)
+        sender.sending = asyncio.create_task(sender._send(data))
+        return sender
+
+    async def _send(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        # What is refused may be cut.
+        with contextlib.suppress(ConnectionError):
+            await loop.sock_sendall(self.client, data)
+
+    async def read(self, count: int) -> list[int]:
+        """Return the statuses of replies, up to a count or the end."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(3 * MAX_S):
+            while len(self._heads()) < count:
+                data = await loop.sock_recv(self.client, MB)
+                if not data:
+                    break
+                self.received += data
+        heads = self._heads()
+        for head in heads:
+            if head.startswith(b'HTTP/1.1 503 '):
+                assert b'\r\nretry-after: 1' in head, head
+        return [int(head.split()[1]) for head in heads]
+
+    def _heads(self) -> list[bytes]:
+        """Return the heads of replies, without interim responses."""
+        heads = bytes(self.received).split(HEAD_END)[:-1]
+        return [head for head in heads if head.split()[1] != b'100']
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB that answers requests with'
+    ' many headers later'
+)
+def given_selective(context: typing.Any, size: int) -> None:
+    context.may_answer = asyncio.Event()
+    context.handler = Selective(context.may_answer)
+    start_server(context, context.handler.answer, size * MB)
+
+
+async def settled(read: typing.Callable[[], typing.Any]) -> None:
+    """Wait until a value has not changed for a while."""
+    async with asyncio.timeout(6 * MAX_S):
+        last, since = read(), time.monotonic()
+        while time.monotonic() - since < SETTLE_S:
+            await asyncio.sleep(0.05)
+            if read() != last:
+                last, since = read(), time.monotonic()
+
+
+@behave.when(
+    '{count:d} callers send {each:d} requests of {headers:d} headers each at'
+    ' once'
+)
+def when_heads(
+    context: typing.Any, count: int, each: int, headers: int
+) -> None:
+    context.each = each
+    text = b''.join(b'x-%d: %d\r\n' % (n, n) for n in range(headers - 1))
+    head = b'GET /a/ HTTP/1.1\r\n%b%b\r\n' % (server_steps.HOST, text)
+    data = head * each
+
+    async def act() -> None:
+        gc.collect()
+        tracemalloc.start()
+        try:
+            context.senders = []
+            for _ in range(count):
+                context.senders.append(Sender.open(context, data))
+                await asyncio.sleep(0)
+            await settled(lambda: tracemalloc.get_traced_memory()[0] // MB)
+            _, context.peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.run(act())
+
+
+@behave.then('the memory grew by less than the budget allows')
+def then_within(context: typing.Any) -> None:
+    most = budgets.COPIES * context.server.budget.max_bytes
+    assert context.peak_bytes < most, (context.peak_bytes, most)
+
+
+@behave.then(
+    '{refused} of them were refused, all others have run, and no refused one'
+)
+def then_refused(context: typing.Any, refused: str) -> None:
+    async def act() -> list[list[int]]:
+        return await asyncio.gather(
+            *(sender.read(context.each) for sender in context.senders)
+        )
+
+    found = context.run(act())
+    ran = sum(statuses.count(200) for statuses in found)
+    assert context.handler.large == ran, (context.handler.large, ran)
+    for statuses in found:
+        expected = [200] * context.each
+        if statuses != expected:
+            ran_here = statuses.count(200)
+            assert statuses == [200] * ran_here + [503], statuses
+    has_refused = any(503 in statuses for statuses in found)
+    assert has_refused == (refused == 'some'), found
+    assert ran, found
+
+
+@behave.when('a caller sends {count:d} small requests at once')
+def when_many(context: typing.Any, count: int) -> None:
+    text = b'GET /a/ HTTP/1.1\r\n%b\r\n' % server_steps.HOST
+    context.text_bytes = len(text) * count
+
+    async def act() -> None:
+        context.sender = Sender.open(context, text * count)
+        await settled(lambda: context.server.budget.used_bytes)
+        (context.connection,) = context.server.connections
+
+    context.run(act())
+
+
+@behave.then(
+    'the server holds at most {most:d} of them and the text of the others'
+)
+def then_few(context: typing.Any, most: int) -> None:
+    count = len(context.connection.queue)
+    assert 0 < count <= most, count
+    used = context.server.budget.used_bytes
+    assert used <= context.text_bytes + most * KB, used
+    assert used > count * REQUEST_LEAST_BYTES, used
+
+
+@behave.then('all {count:d} are answered with {status:d}')
+def then_all(context: typing.Any, count: int, status: int) -> None:
+    found = context.run(context.sender.read(count))
+    assert found == [status] * count, (len(found), set(found))
+
+
+@behave.when('it closes its sending side')
+def when_closes_sending(context: typing.Any) -> None:
+    async def act() -> None:
+        await context.sender.sending
+        context.sender.client.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.given('a call that is not idempotent with {count:d} headers')
+def given_call_of_headers(context: typing.Any, count: int) -> None:
+    start_front(context, 0)
+    text = b''.join(b'x-%d: %d\r\n' % (n, n) for n in range(count - 1))
+    head = b'POST /a/ HTTP/1.1\r\n%b%b\r\n' % (server_steps.HOST, text)
+
+    async def act() -> None:
+        context.caller = await Caller.open(context)
+        await context.caller.send(head)
+        await until(lambda: len(context.delivery.calls) == 1)
+
+    context.run(act())
+
+
+@behave.then('its head is held')
+def then_head_held(context: typing.Any) -> None:
+    (call,) = context.delivery.calls
+    least = sum(
+        sys.getsizeof(pair) + sys.getsizeof(pair[0]) + sys.getsizeof(pair[1])
+        for pair in call.headers
+    )
+    held = context.server.budget.by_place[budgets.Place.REQUESTS]
+    assert least <= held <= 2 * least, (held, least)
