Node: the steps of a stop end before the time in which the process ends

A stop whose store, other nodes and callers did not answer took more than the grace period, and the platform kills a node then. Connections close at 5.4 s of 6 s. After that came, each counted from the end of the one before: 0.1 s for late replies, 0.2 s for the deletion of the record, 0.1 s for replies again and 0.2 s for connections to nodes: 6.0 s, before the loop and the interpreter had ended. Polls of 20 ms came on top. Of a period of 1 s it was worse, since the steps did not become shorter with it.

Now there is one time by which all is closed: half of what is reserved for closing, which leaves the other half to the end of the process (0.3 s of 6 s, a sixteenth of a short period). Each step takes at most its own time and half of what is left; the last one takes the rest. The shares are 1/2, 1/4, 1/8 and 1/8 at least, also where the loop was held up over that time, so their sum can't exceed it. With a target that serves, 0.1 s and 0.2 s remain as they were.

--- a/pomelobend/mesh/grace.py
+++ b/pomelobend/mesh/grace.py
@@ -33,6 +33,10 @@
 CLOSE_SHARE = 1 / 8
 """The same part as a share of a short grace period."""
 
+STEPS_SHARE = 1 / 2
+"""Share of that part for the steps of the closing. In the rest the process
+ends: it is killed at the end of the grace period."""
+
 REPLY_RESERVE_S = 0.1
 """Time between the last reply to a caller and the closing of connections, at
 most."""
@@ -63,11 +67,11 @@
     follows_until : float
         Monotonic time until which callers may still be affected by the stop
         of an earlier process of this node.
-    accepts_until, listens_until, replies_until, closes_at : float
+    accepts_until, listens_until, replies_until, closes_at, closed_by : float
         Monotonic times at which calls are no longer accepted regardless of
         their deadlines, at which no more connections are accepted, at which
-        callers that still wait get their replies, and at which connections
-        are closed; infinite before SIGTERM.
+        callers that still wait get their replies, at which connections are
+        closed, and by which all are closed; infinite before SIGTERM.
     timeouts : dict of asyncio.Timeout to tuple of float
         The calls in flight, and their two limits as in ``limit``.
     """
@@ -78,6 +82,7 @@
     listens_until: float = math.inf
     replies_until: float = math.inf
     closes_at: float = math.inf
+    closed_by: float = math.inf
     timeouts: dict[asyncio.Timeout, tuple[float, float]] = attrs.field(
         factory=dict
     )
@@ -121,6 +126,8 @@
         if noted_at is not None:
             closes_at += _extra_s(grace_s, noted_at - signalled_at)
         self.closes_at = max(closes_at, now + left_s / 2)
+        reserve_s = max(end, now + left_s) - self.closes_at
+        self.closed_by = self.closes_at + reserve_s * STEPS_SHARE
         self.replies_until = max(
             self.closes_at - _reply_reserve_s(grace_s), now + left_s / 4
         )
--- a/pomelobend/mesh/shutdown.py
+++ b/pomelobend/mesh/shutdown.py
@@ -22,8 +22,15 @@
 POLL_S = 0.02
 """Interval between checks whether calls have ended, while a node stops."""
 
+TIMER_S = 0.001
+"""Resolution of the timers of the event loop."""
+
 LATE_REPLIES_S = 0.1
-"""Time for reading and replying after the closing time of a stop."""
+"""Time for reading and replying after the closing time of a stop, at most."""
+
+LEAST_SHARE = 1 / 8
+"""Least part for a step of the time for all steps of the closing. It is left
+to a step where the loop was held up over that time."""
 
 
 @attrs.define(eq=False)
@@ -86,7 +93,8 @@
         await self._wait_while(
             lambda: self.node.in_flight, self.node.grace.closes_at
         )
-        late_until = self.node.clock.monotonic() + LATE_REPLIES_S
+        late_s = self._part_s(LATE_REPLIES_S, 2)
+        late_until = self.node.clock.monotonic() + late_s
         await self._wait_while(lambda: self.node.in_flight, late_until)
 
     async def _finish_target_calls(self) -> None:
@@ -106,8 +114,9 @@
         self, is_busy: abc.Callable[[], object], until: float
     ) -> None:
         """Wait while a function returns true, at most until a time."""
-        while is_busy() and self.node.clock.monotonic() < until:
-            await self.node.clock.sleep(POLL_S)
+        clock = self.node.clock
+        while is_busy() and (left_s := until - clock.monotonic()) > 0:
+            await clock.sleep(min(POLL_S, max(left_s, TIMER_S)))
 
     async def _close(self) -> None:
         """Close all connections.
@@ -120,19 +129,33 @@
         await self._finish_replies()
         if self.node.gate.state is not members.State.SERVING:
             with _step('deregister'):
-                await self.node.registry.deregister(self._closing_s)
+                await self.node.registry.deregister(self._closing_s(2))
             await self._finish_calls()
         self.node.tasks.cancel()
         with _step('close connections to nodes'):
-            await self.node.pool.close(self._closing_s)
+            await self.node.pool.close(self._closing_s(1))
         self.node.gate.client.close()
         self.node.store.close()
 
-    @property
-    def _closing_s(self) -> float:
-        """Return the time that is left for a step of the closing."""
+    def _closing_s(self, steps: int) -> float:
+        """Return the time for a step of the closing, like ``_part_s``."""
         left_s = self.node.grace.closes_at - self.node.clock.monotonic()
-        return max(peer_links.CLOSE_TIMEOUT_S, left_s)
+        return max(left_s, self._part_s(peer_links.CLOSE_TIMEOUT_S, steps))
+
+    def _part_s(self, most_s: float, steps: int) -> float:
+        """Return the time that a step may take past the closing time.
+
+        Parameters
+        ----------
+        most_s : float
+        steps : int
+            Number of parts into which the time that is left is divided, this
+            one and those that are kept for later steps.
+        """
+        grace = self.node.grace
+        left_s = grace.closed_by - self.node.clock.monotonic()
+        least_s = (grace.closed_by - grace.closes_at) * LEAST_SHARE
+        return min(most_s, max(left_s / steps, least_s))
 
 
 @contextlib.contextmanager
--- a/tests/mesh/test_mesh_grace.feature
+++ b/tests/mesh/test_mesh_grace.feature
@@ -150,3 +150,25 @@
   Scenario: an answer that arrived before the limit is not read yet
     When the loop is held up past the limit of a call whose answer has arrived
     Then the call has its answer
+
+  # Guards against a stop whose last steps take the time in which the process
+  # ends, so that it is killed.
+  Scenario Outline: a stop of <grace_s> s, begun <late_s> s late, leaves time for the end of its process
+    Given a node that has received SIGTERM with a grace period of <grace_s> s
+    When its stop begins <late_s> s late and neither the store, another node nor a caller answers
+    Then its stop has ended <ends_s> s after SIGTERM
+
+    Examples:
+      | grace_s | late_s | ends_s |
+      | 1       | 0.0    | 0.9375 |
+      | 2       | 0.0    | 1.875  |
+      | 6       | 0.0    | 5.7    |
+      | 6       | 3.0    | 5.7    |
+      | 6       | 5.0    | 5.75   |
+      | 6       | 5.9    | 6.05   |
+      | 10      | 0.0    | 9.7    |
+
+  Scenario: a stop whose loop is held up nearly to its end takes little longer
+    Given a node that has received SIGTERM with a grace period of 6 s
+    When its loop is held up until 5.75 s after SIGTERM and neither the store, another node nor a caller answers
+    Then its stop has ended 5.9 s after SIGTERM
