Stop of a node: the end of a node is noted when it ends

The scenario of a caller that reads slowly failed with 6.05 to 6.63 s on a loaded machine, where 6 s are given to the node. It noted the end of the node only after its caller, the test itself, had read the whole answer, and that caller paused between its 256 parts or more, so that whatever delayed the test's own process was added to them: it read for longer than the 4 s of 16 MiB at 4 MiB/s.

Trace, at in a scratch copy whose reader takes 4.5 and 5 ms more for each part, the end of the node noted apart by a thread (load average 13): the node ended 5.32 and 4.57 s after SIGTERM, the test had read the answer after 6.22 and 6.03 s, and it failed with 6.22 and 6.03 s.

Now a thread waits for the process and notes the time at which it ended, from SIGTERM on, with the 8 s at most that were counted from the end of the reading before. The pauses follow the rate, so that a delay does not add up. What is asked of the node is the same: the whole answer, and an end within its grace period.

--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -200,6 +200,16 @@
     context.mesh.vms[name].node.signal(15)
 
 
+async def note_end(context: typing.Any, name: str) -> None:
+    """Note when a node ends, also if this process is busy meanwhile."""
+    process = context.mesh.vms[name].node.popen
+
+    def wait() -> tuple[int, float]:
+        return process.wait(EXIT_S), time.monotonic()
+
+    context.code, context.ended_at = await asyncio.to_thread(wait)
+
+
 async def receive(request: Request, reader: asyncio.StreamReader) -> bool:
     """Read the answer to a request; return whether more may follow."""
     try:
@@ -436,13 +446,13 @@
             while part := await loop.sock_recv(sock, PART_BYTES):
                 if not context.received:
                     stop(context, NODE)
+                    ending = asyncio.create_task(note_end(context, NODE))
                 context.received += len(part)
                 if context.received >= size * MIB:
                     break
-                await asyncio.sleep(len(part) / (rate * MIB))
-
-        context.code = await context.mesh.vms[NODE].node.wait(EXIT_S)
-        context.ended_at = time.monotonic()
+                due = context.stopped_at + context.received / (rate * MIB)
+                await asyncio.sleep(max(due - time.monotonic(), 0.0))
+        await ending
 
     context.expected = size * MIB
     context.run(act())
