Peers: a connection without a greeting ends in the time of the closing

A pool that closes within a time gave a connection whose other node had not greeted 0.2 s in any case, also where less was left to the stop of a node.

--- a/tests/peers/test_peers_pool.feature
+++ b/tests/peers/test_peers_pool.feature
@@ -17,3 +17,9 @@
     Given a node that closes each connection during the upgrade
     When another node dials it 3 times
     Then each attempt fails as one to an unreachable node
+
+  # Guards against a stop that a node without a greeting holds up for longer.
+  Scenario: a connection without a greeting ends in the time of the closing
+    Given a node that accepts connections and sends no greeting
+    When another node that dials it closes its pool within 50 ms
+    Then the connection without a greeting has had 50 ms to close
--- a/tests/steps/test_peers_pool.py
+++ b/tests/steps/test_peers_pool.py
@@ -13,12 +13,14 @@
 from pomelobend import clock as clocks
 from pomelobend import errors
 from pomelobend.metrics import counters
+from pomelobend.peers import link as links
 from pomelobend.peers import messages
 from pomelobend.peers import options
 from pomelobend.peers import pool as pools
 from standins import fleet
 
 DEADLINE_S = 3.0
+MESSAGE_BYTES = 1024 * 1024
 SECOND = datetime.timedelta(seconds=1)
 
 
@@ -201,3 +203,44 @@
         if not isinstance(failure, errors.PeerError)
     ]
     assert not wrong, wrong
+
+
+@behave.given('a node that accepts connections and sends no greeting')
+def given_mute(context: typing.Any) -> None:
+    context.address = f'127.0.0.1:{fleet.free_ports(1)[0]}'
+
+    async def accept(link: links.Link) -> None:
+        context.stack.callback(link.abort)
+
+    async def act() -> None:
+        server = await links.listen(
+            context.address, MESSAGE_BYTES, accept, links.Traffic()
+        )
+        context.stack.callback(server.close)
+
+    context.run(act())
+
+
+@behave.when(
+    'another node that dials it closes its pool within {close_ms:d} ms'
+)
+def when_closes(context: typing.Any, close_ms: int) -> None:
+    pool = open_pool('n1', '127.0.0.1:1')
+
+    async def act() -> None:
+        dialling = asyncio.create_task(pool.get(context.address))
+        await until(lambda: pool.greeting)
+        (context.link,) = pool.greeting
+        await pool.close(close_ms / 1000)
+        await asyncio.gather(dialling, return_exceptions=True)
+
+    context.run(act())
+
+
+@behave.then(
+    'the connection without a greeting has had {close_ms:d} ms to close'
+)
+def then_closed_in_time(context: typing.Any, close_ms: int) -> None:
+    assert context.link.transport.is_disconnected
+    found = context.link.close_timeout_s
+    assert found == close_ms / 1000, found
