Ignore a neighbour's listing that would take too much memory

A compressed listing of a neighbour was limited at 64 MiB uncompressed, not by its values: 37 KB that hold 8 Mi empty lists took 646 MB (VmHWM of listing.unpack on's parent, plain Python). A listing that was too large also ended the connection, and with it the calls of others on it.

Data that are short enough for any content are not read.

--- a/pomelobend/memory/parsed.py
+++ b/pomelobend/memory/parsed.py
@@ -36,6 +36,16 @@
 take. It is the same for all nodes, so that all know the same entries and read
 what the others send."""
 
+CBOR_BYTE_BYTES = 160
+"""Most bytes that a byte of CBOR stands for: 112 in maps of maps, 150 in the
+texts that cbor2 parses as mails."""
+
+TAG_BYTES = 640
+"""Most bytes that a tag stands for which no node sends, beside its value."""
+
+_BYTES, _TEXT, _TAG = 2, 3, 6
+_FIRST_LONG, _LAST_LONG = 24, 27
+
 WIDE_BYTES = 4
 """Size of each character of a text that holds a wide one."""
 
@@ -155,3 +165,74 @@
         if opened == depth:
             yield start, found.end()
         opened -= 1
+
+
+def cbor_bytes(data: bytes, most: int) -> int:
+    """Return how many bytes CBOR takes at most, with its values.
+
+    The heads of all values are read, unless the data are so short that they
+    don't matter. What is above ``most`` is not looked at further.
+    """
+    taken = len(data) * CBOR_BYTE_BYTES
+    if taken <= most:
+        return taken
+    taken, position, end = len(data), 0, len(data)
+    while position < end and taken <= most:
+        head = data[position]
+        taken += _CBOR_COSTS[head]
+        step = _CBOR_STEPS[head]
+        if not step:
+            position, size = _long_string(data, position)
+            taken += size
+        position += step
+    return taken
+
+
+def check_cbor(data: bytes, most: int) -> None:
+    """Reject CBOR that may take more than a number of bytes.
+
+    Raises
+    ------
+    errors.MessageTooLargeError
+    """
+    taken = cbor_bytes(data, most)
+    if taken > most:
+        raise errors.MessageTooLargeError(
+            f'{len(data)} bytes would take over {most}'
+        )
+
+
+def _long_string(data: bytes, position: int) -> tuple[int, int]:
+    """Return the end of a string with a length, and what it takes."""
+    start = position + 1 + (1 << (data[position] & 3))
+    length = int.from_bytes(data[position + 1 : start])
+    is_text = data[position] >> 5 == _TEXT
+    wide = is_text and not data[start : start + length].isascii()
+    return start + length, length * (WIDE_BYTES if wide else 1)
+
+
+def _cbor_step(head: int) -> int:
+    """Return the size of a head with its string, or 0 for a long string."""
+    major, info = head >> 5, head & 31
+    if major in (_BYTES, _TEXT):
+        if info < _FIRST_LONG:
+            return 1 + info
+        if info <= _LAST_LONG:
+            return 0
+    if _FIRST_LONG <= info <= _LAST_LONG:
+        return 1 + (1 << (info & 3))
+    return 1
+
+
+def _cbor_cost(head: int) -> int:
+    """Return what a value takes by its head, without a long string."""
+    major, info = head >> 5, head & 31
+    if major == _TAG and info >= _FIRST_LONG:
+        return TAG_BYTES
+    if major == _TEXT and info < _FIRST_LONG:
+        return VALUE_BYTES + info * WIDE_BYTES
+    return VALUE_BYTES
+
+
+_CBOR_STEPS = [_cbor_step(head) for head in range(256)]
+_CBOR_COSTS = [_cbor_cost(head) for head in range(256)]
