Check that the link speed of a member is a number

Of the values of a member that another node reports, link_mbps alone had no check: any value was stored and passed on, a list of any size as well.

--- a/tests/peers/test_peers_parsed.feature
+++ b/tests/peers/test_peers_parsed.feature
@@ -32,3 +32,14 @@
       | an answer of 2 MiB          |
       | tallies of 1400 routes      |
       | a text of 1 MiB             |
+
+  # Guards against a value of a member that nothing checks or bounds.
+  Scenario Outline: a member whose <field> is no number is a protocol error
+    Then a member whose <field> is no number is a protocol error
+
+    Examples:
+      | field       |
+      | incarnation |
+      | sequence    |
+      | slots       |
+      | link_mbps   |
--- a/tests/steps/test_peers_parsed.py
+++ b/tests/steps/test_peers_parsed.py
@@ -7,6 +7,7 @@
 import tracemalloc
 import typing
 
+import attrs
 import behave
 import structlog.testing
 
@@ -165,3 +166,16 @@
 def then_read(context: typing.Any, what: str) -> None:
     message = LARGE[what]()
     assert codec.decode(codec.encode(message)) == message
+
+
+@behave.then('a member whose {field} is no number is a protocol error')
+def then_no_number(context: typing.Any, field: str) -> None:
+    names = [item.name for item in attrs.fields(members.Member)]
+    for value in ([[], []], 'a', None, 1.5, -1):
+        wire = codec.member_to_wire(member(1))
+        wire[names.index(field)] = value
+        try:
+            codec.member_from_wire(wire)
+        except errors.ProtocolError:
+            continue
+        raise AssertionError(value)
