--- a/tests/http/test_http_memory.feature
+++ b/tests/http/test_http_memory.feature
@@ -220,6 +220,25 @@
       | loop   |
       | uvloop |
 
+  # Guards against requests that wait unread and are lost with the end of the
+  # stream of their caller.
+  Scenario Outline: requests wait unread whose caller sends no more, <loop>
+    Given an HTTP server with a budget of 4 MB that does not answer yet
+    When a caller sends 300 small requests at once
+    And it closes its sending side
+    And the server answers
+    Then all 300 are answered with 200
+    And the server holds nothing
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
+
   # Guards against calls that keep their headers without their caller.
   Scenario: the head of a call that goes on without its caller is held
     Given a call that is not idempotent with 900 headers
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -892,17 +892,22 @@
         """Return the statuses of replies, up to a count or the end."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(3 * MAX_S):
-            while self.received.count(HEAD_END) < count:
+            while len(self._heads()) < count:
                 data = await loop.sock_recv(self.client, MB)
                 if not data:
                     break
                 self.received += data
-        heads = bytes(self.received).split(HEAD_END)[:-1]
+        heads = self._heads()
         for head in heads:
             if head.startswith(b'HTTP/1.1 503 '):
                 assert b'\r\nretry-after: 1' in head, head
         return [int(head.split()[1]) for head in heads]
 
+    def _heads(self) -> list[bytes]:
+        """Return the heads of replies, without interim responses."""
+        heads = bytes(self.received).split(HEAD_END)[:-1]
+        return [head for head in heads if head.split()[1] != b'100']
+
 
 @behave.given(
     'an HTTP server with a budget of {size:d} MB that answers requests with'
@@ -1010,6 +1015,16 @@
     assert found == [status] * count, (len(found), set(found))
 
 
+@behave.when('it closes its sending side')
+def when_closes_sending(context: typing.Any) -> None:
+    async def act() -> None:
+        await context.sender.sending
+        context.sender.client.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
 @behave.given('a call that is not idempotent with {count:d} headers')
 def given_call_of_headers(context: typing.Any, count: int) -> None:
     start_front(context, 0)
