Bodies: each block is freed once it is copied

Since 'a body is in memory once' failed (2.01 times in memory): a whole body in blocks was joined beside all of its blocks.

--- a/pomelobend/memory/bodies.py
+++ b/pomelobend/memory/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import io
 import typing
 
 import attrs
@@ -34,8 +35,16 @@
             del self.tail[:BLOCK_BYTES]
 
     def join(self) -> bytes:
-        """Return the body."""
-        return b''.join((*self.whole, self.tail))
+        """Return the body, and free each block once it is copied."""
+        if not self.whole:
+            return bytes(self.tail)
+        joined = io.BytesIO()
+        self.whole.reverse()
+        while self.whole:
+            joined.write(self.whole.pop())
+        joined.write(self.tail)
+        self.clear()
+        return joined.getvalue()
 
     def clear(self) -> None:
         """Free what was collected."""
