Requests: what stands between the parts of a body is limited

Change: 64 KiB in a row behind the head without a byte of the body end the request with 400, not run.

--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -42,7 +42,8 @@
     size : int
         Size of the text of its head.
     unparsed_size : int
-        Size of the parts that came before the end of its head.
+        Size of the parts that came before the end of its head, or after it in
+        a row without a byte of its body.
     body_size : int
     head_bytes : int
         The part of the holding that its head takes.
@@ -76,6 +77,7 @@
         """
         self._hold(len(part) + (0 if self.head_bytes else self._count_head()))
         self.body.add(part)
+        self.unparsed_size = 0
         self.body_size += len(part)
 
     @property
--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -22,6 +22,10 @@
 """Largest number of headers of a request. The limit of the configuration
 counts their text, but each takes some 200 bytes besides."""
 
+MAX_FRAMING_BYTES = 64 * 1024
+"""Size of what may come in a row behind a head without a byte of a body, such
+as the extension of a chunk."""
+
 READ_LATE_S = 0.2
 """Time in a socket from which on a request counts as read late."""
 
@@ -154,9 +158,10 @@
     def _note_progress(
         self, previous: incoming_module.Incoming | None, size: int
     ) -> None:
-        """Note that a part of a request came; limit a head without an end.
+        """Note that a part of a request came; limit what has no end.
 
-        The parser passes on a header only when it is complete.
+        The parser passes on a header only when it is complete, and nothing of
+        what stands between the parts of a body.
 
         Raises
         ------
@@ -165,12 +170,19 @@
         if self.incoming is None:
             return
         self.incoming.byte_at = self.server.clock.monotonic()
-        if self.incoming is previous and not self.incoming.has_head:
-            previous.unparsed_size += size
-            if previous.unparsed_size > self.bounds.header_bytes:
-                raise errors.RequestMalformedError(
-                    431, 'request head exceeds the size limit'
-                )
+        if self.incoming is not previous:
+            return
+        previous.unparsed_size += size
+        if previous.unparsed_size <= self.bounds.header_bytes:
+            return
+        if not previous.has_head:
+            raise errors.RequestMalformedError(
+                431, 'request head exceeds the size limit'
+            )
+        if previous.unparsed_size > MAX_FRAMING_BYTES:
+            raise errors.RequestMalformedError(
+                400, 'too many bytes without a part of a body'
+            )
 
     def _take_incoming(self) -> incoming_module.Incoming | None:
         """Return the request that is being received, which ends here."""
