--- a/tests/mesh/test_mesh_endless.feature
+++ b/tests/mesh/test_mesh_endless.feature
@@ -52,3 +52,14 @@
       | count | port     |
       | 6     | outbound |
       | 6     | control  |
+
+  # Guards against ports for small messages that collect bodies of any size.
+  Scenario Outline: a body of 1 MiB to the <port> port of a node is refused
+    Given two VMs whose nodes may use 300 MB
+    When a body of 1 MiB is announced to the <port> port of a node
+    Then it is refused with 413 before it is sent
+
+    Examples:
+      | port    |
+      | control |
+      | ready   |
--- a/tests/steps/test_mesh_endless.py
+++ b/tests/steps/test_mesh_endless.py
@@ -232,6 +232,34 @@
             writer.transport.abort()
 
 
+@behave.when('a body of 1 MiB is announced to the {port} port of a node')
+def when_announced(context: typing.Any, port: str) -> None:
+    host, number = context.mesh.vms['vik-t'].addresses[port].split(':')
+    head = (
+        f'PUT /backends/i-1 HTTP/1.1\r\nHost: {host}\r\n'
+        f'Content-Length: {MB}\r\n\r\n'
+    )
+
+    async def act() -> bytes:
+        reader, writer = await asyncio.open_connection(host, int(number))
+        writer.write(head.encode())
+        try:
+            async with asyncio.timeout(FIRST_S):
+                return await reader.readline()
+        except TimeoutError:
+            return b'nothing'
+        finally:
+            writer.close()
+
+    context.first_line = context.run(act())
+
+
+@behave.then('it is refused with {status:d} before it is sent')
+def then_refused(context: typing.Any, status: int) -> None:
+    expected = b'HTTP/1.1 %d ' % status
+    assert context.first_line.startswith(expected), context.first_line
+
+
 async def _timed(
     context: typing.Any, count: int, per_s: float
 ) -> list[tuple[int, float]]:
