Memory: the failure of a body that is given up tells the size that it had

It was read after its bytes had been freed: a body of 30 MB was told as one of 50,048 bytes (by a reviewer).

--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -106,11 +106,12 @@
         errors.MemoryFullError
             This body was given up.
         """
+        wanted = self.size + size
         if not self.is_given_up:
             self.budget.take(self, size)
         if self.is_given_up:
             raise errors.MemoryFullError(
-                f'no memory for a body of {self.size + size} bytes'
+                f'no memory for a body of {wanted} bytes'
             )
 
     def complete(
--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -81,3 +81,8 @@
     Given a budget of 16 MB that bodies in reference cycles fill
     When a body of 2 MB that is whole is held
     Then it is not given up
+
+  Scenario: the failure of a body that is given up tells its size
+    Given a budget of 16 MB with 100 bodies of 50 KB
+    When a body of 1024 bytes grows by 33554432
+    Then the failure tells a body of 33555456 bytes
--- a/tests/steps/test_memory_budget.py
+++ b/tests/steps/test_memory_budget.py
@@ -316,3 +316,18 @@
             derandomize=True,
         ),
     )
+
+
+@behave.when('a body of {size:d} bytes grows by {more:d}')
+def when_grows_by(context: typing.Any, size: int, more: int) -> None:
+    holding = context.budget.open(budgets.Place.ANSWERS)
+    holding.grow(size)
+    try:
+        holding.grow(more)
+    except errors.MemoryFullError as error:
+        context.failure = str(error)
+
+
+@behave.then('the failure tells a body of {size:d} bytes')
+def then_tells(context: typing.Any, size: int) -> None:
+    assert f' {size} bytes' in context.failure, context.failure
