Nested calls: detected at the node of the calling target

The id of a request that a target sends while it runs a call is PARENT.OWN. It is matched against the calls at the local target in constant time; a match makes it a nested call of the parent's team, and bounds its time by what the parent has left. The simulated targets of the tests name their calls so.

--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -39,6 +39,7 @@
     'pomelobend.admission.cold',
     'pomelobend.admission.crashes',
     'pomelobend.admission.outcome',
+    'pomelobend.admission.parents',
     'pomelobend.admission.shares',
     'pomelobend.admission.waiting',
     'pomelobend.membership.member',
--- a/standins/nested_calls.py
+++ b/standins/nested_calls.py
@@ -65,7 +65,7 @@
     path, number = given['x-nested-path'], next(_numbers)
     headers = {
         'host': given['host'],
-        'x-attempt-id': f'{given["x-attempt-id"]}-nested-{number}',
+        'x-attempt-id': f'{given["x-attempt-id"]}.{number}',
         'x-deadline-ms': str(limit_ms),
         'x-work-s': given.get('x-nested-work-s', '0.1'),
     }
