Waiting calls start nested first, then fair between teams

Calls of equal priority started in the order of their due times, whoever sent them, so one team with a burst took the slots of all others. The sort key of waiting calls is now (nested calls first, priority, fair order of the team, due time). The fair order is start-time fair queueing by expected run time, with a floor for teams that are served much less often than all teams. A new call may make a queued one of another team late if its own team is to be served first.

Where no call has a team and none is nested the order is the previous one, and no state is kept.

--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -107,6 +107,7 @@
         """
         now = self.clock.monotonic()
         self.shares.note_offered(call.priority, now)
+        self.queue.teams.note_offered(call, now)
         if self._may_start(now) and not self.queue.size:
             self._occupy_slot(call, now)
             return
@@ -114,6 +115,7 @@
         ready = asyncio.get_running_loop().create_future()
         priority = self.shares.effective_priority(call.priority)
         queued = waiting.QueuedCall(call, ready, run_s, now, priority)
+        self.queue.place(queued)
         wait_s = self.wait_s(queued.order)
         left_s = TIMELY_SHARE * (call.due - now)
         if wait_s + run_s > left_s:
@@ -136,7 +138,7 @@
     def _makes_others_late(
         self, newcomer: waiting.QueuedCall, now: float
     ) -> bool:
-        """Return whether calls as urgent would be late because of a new one.
+        """Return whether calls that go first would be late by a new one.
 
         They were queued because they could meet their objectives. If later
         calls with short objectives took their places, calls with longer ones
@@ -149,7 +151,7 @@
             self._slot_schedule(now), self.queue.waiting_calls_with(newcomer)
         )
         return any(
-            queued.priority <= newcomer.priority
+            not queued.yields_to(newcomer)
             for queued in late_after
             if queued is not newcomer and queued not in late_before
         )
@@ -164,6 +166,7 @@
         self.expected_ends[call] = now + self._expected_run_s(call, now)
         self.cold.note_admitted(now)
         self.shares.note_served(call.priority)
+        self.queue.teams.note_served(call)
 
     def _expected_run_s(self, call: call_module.Call, now: float) -> float:
         """Return the expected run time of a call, in s."""
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -40,6 +40,7 @@
     'pomelobend.admission.crashes',
     'pomelobend.admission.outcome',
     'pomelobend.admission.shares',
+    'pomelobend.admission.team_order',
     'pomelobend.admission.waiting',
     'pomelobend.membership.member',
     'pomelobend.membership.heartbeat',
