--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -41,6 +41,7 @@
     'pomelobend.admission.outcome',
     'pomelobend.admission.parents',
     'pomelobend.admission.shares',
+    'pomelobend.admission.team_order',
     'pomelobend.admission.waiting',
     'pomelobend.membership.member',
     'pomelobend.membership.heartbeat',
