--- a/pomelobend/http/connection.py
+++ b/pomelobend/http/connection.py
@@ -82,10 +82,15 @@
         return (
             self.task is None
             and not self.queue
-            and self.incoming is None
+            and not self.is_receiving
             and not self.intake.is_waiting
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request comes that is not answered yet."""
+        return self.incoming is not None and not self.incoming.is_answered
+
     @property
     def is_new(self) -> bool:
         """Return whether the first request may be on its way."""
@@ -152,7 +157,7 @@
         """Return how far its request or reply is, or None without one."""
         if self.task is not None or self.queue:
             return Phase.PROCESSING
-        if self.incoming is not None:
+        if self.is_receiving:
             return Phase.RECEIVING
         if self.transport.get_write_buffer_size():
             return Phase.REPLYING
@@ -217,12 +222,7 @@
         last_at = max(incoming.byte_at, self.last_activity_at)
         if now - last_at > self.bounds.body_pause_s:
             return 'no byte of a body came in time'
-        head = message.Request(
-            self.parser.get_method().decode('ascii'),
-            incoming.target,
-            incoming.headers,
-        )
-        if now - incoming.began_at > self.server.limit_s(head):
+        if now - incoming.began_at > self.server.limit_s(self._head()):
             return 'a body was not received in the time of its call'
         return ''
 
@@ -255,6 +255,8 @@
         """Close the connection once the client has its last reply."""
         self.is_closing = True
         self._drop_input()
+        if self.incoming is not None and self.incoming.is_answered:
+            self._drop_incoming()
         if self.half_close is not None:
             self.transport.close()
             return
@@ -266,8 +268,10 @@
 
         If an earlier request is still being processed, the connection closes
         after its reply instead. A request for which there is no memory is
-        answered after the earlier ones.
+        answered after the earlier ones. One that was answered by its head
+        gets no second reply.
         """
+        is_answered = self.incoming is not None and self.incoming.is_answered
         self._drop_input()
         self._drop_incoming()
         if self.is_closing or self.refused is not None:
@@ -277,7 +281,10 @@
             status=error.status,
             why=str(error),
         )
-        if self.task is None:
+        if is_answered:
+            if self.task is None:
+                self.close_after_reply()
+        elif self.task is None:
             reply = replying.refusal(error.status)
             self.transport.write(message.encode(reply, is_keep_alive=False))
             self.close_after_reply()
--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -51,6 +51,8 @@
         Whether its time has ended, and what waits in the kernel is read.
     is_dropped : bool
         Whether it was refused, and what still comes of it is not kept.
+    is_answered : bool
+        Whether its reply follows from its head; its body is read and dropped.
     """
 
     began_at: float
@@ -66,6 +68,12 @@
     head_bytes: int = 0
     is_overdue: bool = False
     is_dropped: bool = False
+    is_answered: bool = False
+
+    def skip(self, size: int) -> None:
+        """Count a part of a body that is dropped."""
+        self.unparsed_size = 0
+        self.body_size += size
 
     def add(self, part: bytes) -> None:
         """Store a part of the body, whose bytes are held.
@@ -80,6 +88,14 @@
         self.unparsed_size = 0
         self.body_size += len(part)
 
+    @property
+    def has_optional_body(self) -> bool:
+        """Return whether the client sends the body only if it may go on."""
+        names = {name for name, _ in self.headers}
+        return 'expect' in names and not names.isdisjoint(
+            ('content-length', 'transfer-encoding')
+        )
+
     @property
     def is_ordinary(self) -> bool:
         """Return whether the head takes no more than an ordinary one."""
--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -269,6 +269,10 @@
             return
         self.incoming.check_framing()
         self.incoming.has_head = True
+        refusal = self.server.check_head(self._head())
+        if refusal is not None:
+            self._answer_early(refusal)
+            return
         self._hold_head()
         for name, value in self.incoming.headers:
             if name == 'content-length':
@@ -276,10 +280,52 @@
             elif name == 'expect' and value.lower() == '100-continue':
                 self.transport.write(message.CONTINUE)
 
+    def _head(self) -> message.Request:
+        """Return the request that is being received, without its body."""
+        return message.Request(
+            self.parser.get_method().decode('ascii'),
+            self.incoming.target,
+            self.incoming.headers,
+        )
+
+    def _answer_early(self, refusal: message.Reply) -> None:
+        """Reply to a request by its head; its body is read and dropped.
+
+        A client that asks to go on may leave out the body after a refusal, so
+        what follows could be a body or a request. The connection ends then.
+        """
+        self.incoming.is_answered = True
+        if self.incoming.holding is not None:
+            self.incoming.holding.release()
+            self.incoming.holding = None
+        is_keep_alive = (
+            self.parser.should_keep_alive()
+            and not self.incoming.has_optional_body
+        )
+        self._enqueue(
+            message.Request(
+                self.parser.get_method().decode('ascii'),
+                b'',
+                [],
+                is_keep_alive=is_keep_alive,
+                refusal=refusal,
+            )
+        )
+
+    def _enqueue(self, request: message.Request) -> None:
+        self.queue.append(request)
+        if self.task is None:
+            self.task = asyncio.create_task(self._serve())
+
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         self.parts += 1
-        self._check_body_size(self.incoming.body_size + len(body))
+        size = self.incoming.body_size + len(body)
+        if self.incoming.is_answered:
+            self._check_body_limit(size)
+            self.incoming.skip(len(body))
+            return
+        self._check_body_size(size)
         if self.incoming.holding is None:
             self._open_holding()
         self.incoming.add(body)
@@ -314,9 +360,13 @@
         if self.parser.should_upgrade():
             return
         incoming = self._take_incoming()
+        if incoming.is_answered:
+            self._begin_period()
+            return
         if incoming.holding is not None:
             incoming.holding.complete()
-        self.queue.append(
+        self._begin_period()
+        self._enqueue(
             message.Request(
                 self.parser.get_method().decode('ascii'),
                 incoming.target,
@@ -328,9 +378,6 @@
                 incoming.head_bytes,
             )
         )
-        self._begin_period()
-        if self.task is None:
-            self.task = asyncio.create_task(self._serve())
 
     def _check_content_length(self, value: str) -> None:
         if not value.isdigit():
@@ -346,15 +393,18 @@
         ------
         errors.RequestMalformedError
         """
-        if size > self.bounds.body_bytes:
-            raise errors.RequestMalformedError(
-                413, 'request body exceeds the size limit'
-            )
+        self._check_body_limit(size)
         try:
             self.server.budget.check_length(size)
         except errors.MemoryFullError as error:
             raise errors.RequestMalformedError(413, str(error)) from error
 
+    def _check_body_limit(self, size: int) -> None:
+        if size > self.bounds.body_bytes:
+            raise errors.RequestMalformedError(
+                413, 'request body exceeds the size limit'
+            )
+
     def _count_head_bytes(self, size: int) -> None:
         self.incoming.size += size
         if self.incoming.size > self.bounds.header_bytes:
--- a/pomelobend/http/replying.py
+++ b/pomelobend/http/replying.py
@@ -76,6 +76,8 @@
         """
         if request is self.refused:
             return refusal(503)
+        if request.refusal is not None:
+            return request.refusal
         try:
             return await self.server.answer(request)
         except asyncio.CancelledError:
@@ -177,7 +179,7 @@
 
     def _is_last_reply(self) -> bool:
         """Return whether the server stops and no request has followed."""
-        if not self.server.is_stopping or self.queue or self.incoming:
+        if not self.server.is_stopping or self.queue or self.is_receiving:
             return False
         if self.intake.is_waiting:
             return False
--- /dev/null
+++ b/pomelobend/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams of callers and their keys."""
