Connections count in the budget and have limits

Cause: nothing limited the connections of callers, so idle ones took all descriptors, and unfinished heads were counted only once complete (92 MB of 80 MB with 2400 clients). The input of a single body of 60 MiB counted as another request beside it, so that it was refused at 200 MB.

Each connection counts 4 KiB, each unfinished head what has come of it. Above the limits of a port, and of one address, connections that have been incomplete the longest are dropped. Requests whose sender has stalled for 2 s give way first when memory is short.

--- a/pomelobend/http/connection.py
+++ b/pomelobend/http/connection.py
@@ -19,6 +19,7 @@
 from pomelobend.http import replying
 from pomelobend.http import unsent as unsent_module
 from pomelobend.memory import budget as budgets
+from pomelobend.memory import eviction
 from pomelobend import sockets
 from pomelobend import turns as turn_module
 
@@ -55,6 +56,10 @@
             server.turns, self._parse, self._update_reading
         )
         self.parts = 0
+        self.pieces: list[bytes] = []
+        self.group = budgets.Group()
+        self.address = ''
+        self.is_counted = False
         self.incoming: incoming_module.Incoming | None = None
         self.queue: collections.deque = collections.deque()
         self.task: asyncio.Task | None = None
@@ -113,11 +118,19 @@
         """Store the transport and register the connection."""
         self.transport = transport
         transport.set_write_buffer_limits(high=0)
+        name = transport.get_extra_info('peername')
+        self.address = str(name[0]) if name else ''
         self.server.connections.add(self)
+        self.is_counted = True
+        self.server.budget.connections += 1
+        if not self.server.crowd.add(self, self.server.connections):
+            self._refuse_connection()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as nobody will read its reply."""
         self.server.connections.discard(self)
+        self.server.crowd.remove(self)
+        self.server.budget.connections -= 1
         self._note_unanswered(exc)
         self._drop_input()
         self._drop_incoming()
@@ -246,6 +259,54 @@
         if not self.has_waiting_input:
             self.close()
 
+    @property
+    def stage(self) -> eviction.Stage | None:
+        """Return how far the connection is, None if it is not dropped.
+
+        It is not while a request is processed or a reply is written.
+        """
+        if self.phase not in (None, Phase.RECEIVING):
+            return None
+        if self.linger is not None:
+            return eviction.Stage.ENDED
+        if self.is_closing:
+            return None
+        if self.is_used and self.is_idle:
+            return eviction.Stage.IDLE
+        return eviction.Stage.INCOMPLETE
+
+    @property
+    def stage_since(self) -> float:
+        """Return from when on it has been in its stage."""
+        if self.incoming is not None:
+            return self.incoming.began_at
+        return self.last_activity_at
+
+    def give_way(self) -> None:
+        """End the connection at once, as others need its descriptor."""
+        stage = self.stage.name.lower()
+        self.server.counters.add('connections_dropped', stage)
+        if self.incoming is not None:
+            self._write_last(408)
+        self._end_at_once()
+
+    def _refuse_connection(self) -> None:
+        """Refuse a new connection; no request on it has been read."""
+        self.server.counters.add('connections_dropped', 'new')
+        self._write_last(429)
+        self._end_at_once()
+
+    def _write_last(self, status: int) -> None:
+        reply = replying.refusal(status)
+        self.transport.write(message.encode(reply, is_keep_alive=False))
+
+    def _end_at_once(self) -> None:
+        self.is_closing = True
+        self.server.crowd.remove(self)
+        self._drop_input()
+        self._drop_incoming()
+        self.transport.close()
+
     def close(self) -> None:
         """Close the connection, on which no reply is due."""
         self.is_closing = True
--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -87,8 +87,14 @@
 
     @property
     def _memory_bytes(self) -> int:
-        """Return what the head takes."""
-        return REQUEST_BYTES + self.size + HEADER_BYTES * len(self.headers)
+        """Return what the head takes.
+
+        The parser keeps a header until it is complete.
+        """
+        size = self.size
+        if not self.has_head:
+            size = max(size, self.unparsed_size)
+        return REQUEST_BYTES + size + HEADER_BYTES * len(self.headers)
 
     def hold_head(self) -> None:
         """Hold what the head takes so far.
@@ -109,7 +115,7 @@
 
     def _count_head(self) -> int:
         """Return what of the head was not counted before."""
-        more = self._memory_bytes - self.head_bytes
+        more = max(0, self._memory_bytes - self.head_bytes)
         self.head_bytes += more
         return more
 
--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -11,6 +11,7 @@
 from pomelobend.http import incoming as incoming_module
 from pomelobend.http import message
 from pomelobend.memory import budget as budgets
+from pomelobend.memory import eviction
 
 MAX_PIPELINED = 8
 """Queued requests of a connection above which reading from it pauses."""
@@ -71,6 +72,7 @@
         parts, previous = self.parts, self.incoming
         try:
             self._feed(data)
+            self._add_body()
             self._note_progress(previous, len(data))
         except errors.RequestMalformedError as error:
             self._refuse(error)
@@ -138,8 +140,8 @@
             self._drop_input()
             return
         if self.input_holding is None:
-            self.input_holding = self.server.budget.open(
-                budgets.Place.REQUESTS, self._give_up_incoming
+            self.input_holding = self.server.budget.open_input(
+                self._give_up_incoming, self.group
             )
         holding = self.input_holding
         if size > holding.size:
@@ -173,6 +175,8 @@
         if self.incoming is not previous:
             return
         previous.unparsed_size += size
+        if not previous.has_head:
+            self._hold_head()
         if previous.unparsed_size <= self.bounds.header_bytes:
             return
         if not previous.has_head:
@@ -190,6 +194,7 @@
         return incoming
 
     def _drop_incoming(self) -> None:
+        self.pieces.clear()
         incoming = self._take_incoming()
         if incoming is not None:
             incoming.drop()
@@ -277,8 +282,24 @@
                 self.transport.write(message.CONTINUE)
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
+        """Store a part of the body until its slice is parsed."""
         self.parts += 1
+        self.pieces.append(body)
+
+    def _add_body(self) -> None:
+        """Add what has come of a body in a slice.
+
+        Very small chunks are added together, as each addition takes far more
+        time than parsing a chunk.
+
+        Raises
+        ------
+        errors.RequestMalformedError
+        """
+        if not self.pieces:
+            return
+        body = b''.join(self.pieces)
+        self.pieces.clear()
         self._check_body_size(self.incoming.body_size + len(body))
         if self.incoming.holding is None:
             self._open_holding()
@@ -299,20 +320,27 @@
             self.incoming.hold_head()
 
     def _open_holding(self) -> None:
-        self.incoming.holding = self.server.budget.open(
-            budgets.Place.REQUESTS, self._give_up_incoming
+        self.incoming.holding = self.server.budget.open_request(
+            self._give_up_incoming, self.group
         )
 
     def _give_up_incoming(self) -> None:
         """Refuse what comes, as others need its memory."""
+        now = self.server.clock.monotonic()
+        is_stalled = self.incoming is not None and eviction.is_stalled(
+            self.incoming.byte_at, now
+        )
         self._refuse(
-            errors.RequestMalformedError(503, 'no memory for a request')
+            errors.RequestMalformedError(
+                408 if is_stalled else 503, 'no memory for a request'
+            )
         )
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         if self.parser.should_upgrade():
             return
+        self._add_body()
         incoming = self._take_incoming()
         if incoming.holding is not None:
             incoming.holding.complete()
--- a/pomelobend/http/replying.py
+++ b/pomelobend/http/replying.py
@@ -193,7 +193,7 @@
 def refusal(status: int) -> message.Reply:
     """Return the reply to a request that is refused unprocessed."""
     headers = []
-    if status == 503:
+    if status in (429, 503):
         headers.append(('retry-after', str(NO_MEMORY_RETRY_S)))
     return message.Reply(status, headers)
 
--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -12,6 +12,7 @@
 import collections
 import enum
 import gc
+import time
 import typing
 import weakref
 
@@ -19,6 +20,7 @@
 import structlog
 
 from pomelobend import errors
+from pomelobend.memory import eviction
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -35,6 +37,10 @@
 """Memory that a held byte takes at most: a part of it may also be in the
 buffer of a connection, and the allocator keeps free blocks."""
 
+CONNECTION_BYTES = 4 * KB
+"""What a connection counts, also one that has sent nothing. An idle one takes
+3.4 KB, and the head of an ordinary request up to 4 KiB besides."""
+
 LEAST_BYTES = 8 * MB
 """Budget of a node with hardly more memory than the program needs."""
 
@@ -70,6 +76,13 @@
 REQUEST_PLACES = frozenset((Place.REQUESTS, Place.NODES))
 
 
+@attrs.define(eq=False)
+class Group:
+    """Holdings of one request that is being received, and their size."""
+
+    size: int = 0
+
+
 @attrs.define(eq=False)
 class Holding:
     """The bytes of one body in one place.
@@ -89,6 +102,13 @@
     is_growing : bool
         Whether the body is still being received.
     is_given_up : bool
+    began_at : float
+        Monotonic time at which the body began.
+    sender_at : float or None
+        Monotonic time of its last byte; None if it does not wait for its
+        sender.
+    group : Group or None
+        Further holdings of the same request while it is being received.
     """
 
     budget: Budget
@@ -97,6 +117,9 @@
     size: int = 0
     is_growing: bool = True
     is_given_up: bool = False
+    began_at: float = 0.0
+    sender_at: float | None = None
+    group: Group | None = None
 
     def grow(self, size: int) -> None:
         """Hold more bytes; bodies are given up if there is no room.
@@ -107,6 +130,8 @@
             This body was given up.
         """
         wanted = self.size + size
+        if self.sender_at is not None:
+            self.sender_at = self.budget.clock()
         if not self.is_given_up:
             self.budget.take(self, size)
         if self.is_given_up:
@@ -122,6 +147,7 @@
         """Note that the body is whole, and who can free its bytes now."""
         self.is_growing = False
         self.on_give_up = on_give_up
+        self.budget.ungroup(self)
         if on_give_up is not None:
             self.budget.holdings.add(self)
         if place is not None:
@@ -159,6 +185,10 @@
         does so by the number of objects, not by their size.
     taken_bytes : int
         Bytes that were taken since then.
+    connections : int
+        Connections that callers and others have opened to the node.
+    clock : callable
+        Returns the monotonic time in s.
     """
 
     max_bytes: int = UNKNOWN_BYTES
@@ -172,6 +202,8 @@
     holdings: weakref.WeakSet[Holding] = attrs.field(factory=weakref.WeakSet)
     collect_garbage: abc.Callable[[], object] = gc.collect
     taken_bytes: int = 0
+    connections: int = 0
+    clock: abc.Callable[[], float] = time.monotonic
 
     @classmethod
     def of_node(cls, memory_bytes: int | None) -> Budget:
@@ -186,10 +218,20 @@
         """Return the part of the budget that large bodies may use."""
         return round(LARGE_SHARE * self.max_bytes)
 
+    @property
+    def connection_bytes(self) -> int:
+        """Return what the connections to the node count."""
+        return CONNECTION_BYTES * self.connections
+
+    @property
+    def total_bytes(self) -> int:
+        """Return what bodies and connections count together."""
+        return self.used_bytes + self.connection_bytes
+
     @property
     def is_short(self) -> bool:
         """Return whether no more should be read of what can wait."""
-        return self.used_bytes > SHORT_SHARE * self.max_bytes
+        return self.total_bytes > SHORT_SHARE * self.max_bytes
 
     def open(
         self,
@@ -199,6 +241,34 @@
         """Return a holding for a body that is being received."""
         return Holding(self, place, on_give_up)
 
+    def open_request(
+        self, on_give_up: abc.Callable[[], None], group: Group
+    ) -> Holding:
+        """Return a holding for a request that its sender may not finish."""
+        now = self.clock()
+        holding = Holding(
+            self,
+            Place.REQUESTS,
+            on_give_up,
+            began_at=now,
+            sender_at=now,
+            group=group,
+        )
+        self.holdings.add(holding)
+        return holding
+
+    def open_input(
+        self, on_give_up: abc.Callable[[], None], group: Group
+    ) -> Holding:
+        """Return a holding for input that waits for the node."""
+        return Holding(self, Place.REQUESTS, on_give_up, group=group)
+
+    def ungroup(self, holding: Holding) -> None:
+        """Note that a holding belongs to no unfinished request any more."""
+        if holding.group is not None:
+            holding.group.size -= holding.size
+            holding.group = None
+
     def hold(self, place: Place, size: int) -> Holding:
         """Return a holding for a body that is whole already.
 
@@ -234,10 +304,10 @@
     def take(self, holding: Holding, size: int) -> None:
         """Give bytes to a holding, or give it up.
 
-        The largest body that is being received goes first, but not a request
-        while all of them are within their share: many answers without end
-        don't displace one. A small body may also displace one that is whole,
-        if its receiver doesn't take it.
+        A request whose sender has stalled goes first, then the largest body
+        that is being received, but not a request while all of them are within
+        their share: many answers without end don't displace one. A small body
+        may also displace one that is whole, if its receiver doesn't take it.
         """
         self._add(holding, size)
         if not self._has_room(holding):
@@ -253,6 +323,7 @@
 
     def free(self, holding: Holding) -> None:
         """Take back the bytes of a holding."""
+        self.ungroup(holding)
         self.used_bytes -= holding.size
         self.by_place[holding.place] -= holding.size
         holding.size = 0
@@ -265,6 +336,8 @@
 
     def _add(self, holding: Holding, size: int) -> None:
         holding.size += size
+        if holding.group is not None:
+            holding.group.size += size
         if holding.size > SMALL_BYTES:
             self.holdings.add(holding)
         self.taken_bytes += size
@@ -273,8 +346,8 @@
 
     def _has_room(self, holding: Holding) -> bool:
         if holding.size <= SMALL_BYTES:
-            return self.used_bytes <= self.max_bytes
-        return self.used_bytes <= self.large_bytes and not (
+            return self.total_bytes <= self.max_bytes
+        return self.total_bytes <= self.large_bytes and not (
             self._is_share_exceeded(holding)
         )
 
@@ -282,7 +355,8 @@
         """Return whether a request is one too many beside others."""
         if holding.place not in REQUEST_PLACES:
             return False
-        others_bytes = self._requests_bytes - holding.size
+        own_bytes = holding.size if not holding.group else holding.group.size
+        others_bytes = self._requests_bytes - own_bytes
         return self._has_many_requests and others_bytes > SMALL_BYTES
 
     @property
@@ -295,10 +369,13 @@
 
     def _victim(self, holding: Holding) -> Holding:
         """Return the body that makes room for another one, or that one."""
-        others = [item for item in self.holdings if item.size > SMALL_BYTES]
-        growing = self._growing(others)
-        if growing:
-            return max(growing, key=lambda item: item.size)
+        growing = self._growing([item for item in self.holdings if item.size])
+        stalled = eviction.longest_stalled(growing, self.clock())
+        if stalled is not None:
+            return stalled
+        large = [item for item in growing if item.size > SMALL_BYTES]
+        if large:
+            return max(large, key=lambda item: item.size)
         if holding.size > SMALL_BYTES:
             return holding
         untaken = [
@@ -313,7 +390,7 @@
         found = [item for item in holdings if item.is_growing]
         requests = [item for item in found if item.place in REQUEST_PLACES]
         answers = [item for item in found if item not in requests]
-        if self.used_bytes <= self.large_bytes:
+        if self.total_bytes <= self.large_bytes:
             return requests
         if answers and not self._has_many_requests:
             return answers
@@ -325,7 +402,7 @@
             place=str(holding.place),
             size_kb=holding.size // KB,
             is_whole=not holding.is_growing,
-            used_kb=self.used_bytes // KB,
+            used_kb=self.total_bytes // KB,
             max_kb=self.max_bytes // KB,
             by_place_kb={
                 str(place): size // KB for place, size in self.by_place.items()
