--- a/tests/steps/test_peers_limits.py
+++ b/tests/steps/test_peers_limits.py
@@ -73,8 +73,11 @@
 class Peer:
     """Another node in a thread, one message of which comes late."""
 
-    def __init__(self, late: str, hold_up: typing.Callable) -> None:
+    def __init__(
+        self, late: str, hold_up: typing.Callable, status: int = 200
+    ) -> None:
         self.late = late
+        self.status = status
         self.hold_up = hold_up
         self.listener = socket.create_server(('127.0.0.1', 0))
         host, port = self.listener.getsockname()
@@ -98,7 +101,7 @@
             while type(read_frame(connection)) is not messages.CallStart:
                 pass
             answer = messages.AnswerStart(
-                FIRST_CALL, 200, [], b'bells', True, 1, 0
+                FIRST_CALL, self.status, [], b'bells', True, 1, 0
             )
             self.send(connection, ANSWER, frame(answer))
             try:
@@ -142,7 +145,7 @@
 @behave.when('this node calls it')
 def when_called(context: typing.Any) -> None:
     async def act() -> None:
-        pool = open_pool()
+        context.pool = pool = open_pool()
         context.stack.push_async_callback(pool.close)
         clock = clocks.SystemClock()
         await open_connection(context, pool)
