--- a/tests/steps/test_peers_limits.py
+++ b/tests/steps/test_peers_limits.py
@@ -105,7 +105,8 @@
             )
             self.send(connection, ANSWER, frame(answer))
             try:
-                connection.recv(65536)
+                while connection.recv(65536):
+                    pass
             except OSError:
                 return
 
