--- a/pomelobend/mesh/incoming.py
+++ b/pomelobend/mesh/incoming.py
@@ -19,6 +19,7 @@
     from pomelobend.peers import callee as callees
     from pomelobend.peers import connection as connections
     from pomelobend.peers import stream as streams
+    from pomelobend.usage import reporter as reporter_module
 
 
 @attrs.frozen(eq=False)
@@ -32,6 +33,7 @@
     broadcaster: broadcasts.Broadcaster
     rollouts: rollout_controller.RolloutController
     crash_reports: crash_report_module.CrashReports
+    usage: reporter_module.Reporter | None = None
 
     async def serve(
         self,
@@ -71,6 +73,9 @@
                 self.feed.handle_want(connection, message)
             case messages.Listing():
                 self.feed.handle_listing(connection, message)
+            case messages.UsageCounts():
+                if self.usage is not None:
+                    self.usage.exchange.handle_counts(connection, message)
             case _:
                 raise errors.ProtocolError(
                     f'{type(message).__name__} not expected'
@@ -97,3 +102,9 @@
                 self.rollouts.handle_evidence(origin, message)
             case messages.Crashed():
                 self.crash_reports.note(origin, message.calls)
+            case messages.UsageSums():
+                if self.usage is not None:
+                    self.usage.exchange.handle_sums(message)
+            case messages.UsageLease():
+                if self.usage is not None:
+                    self.usage.handle_lease(message)
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -125,6 +125,16 @@
 )
 """Modules of a node, in an order in which each needs only those before it."""
 
+USAGE_MODULES = (
+    'pomelobend.platform.usage_api',
+    'pomelobend.usage.contention',
+    'pomelobend.usage.counts',
+    'pomelobend.usage.duty',
+    'pomelobend.usage.exchange',
+    'pomelobend.usage.reporter',
+)
+"""The same of a node that takes part in usage reports, to be loaded last."""
+
 ROUNDS = 4
 """Rounds of the event loop between two steps. A request is accepted, read and
 replied to in several."""
@@ -211,7 +221,9 @@
         listening_since=listening_since,
     )
     await server.listen()
-    await load_modules()
+    await load_modules(MODULES)
+    if settings.usage is not None:
+        await load_modules(USAGE_MODULES)
     nodes = importlib.import_module(MODULES[-1])
     node = nodes.Node.from_config(settings, server, sockets)
     front.successor.set_result(node.front.answer)
@@ -223,9 +235,9 @@
     await node.run()
 
 
-async def load_modules() -> None:
-    """Load the modules of a node; read and reply between them."""
-    for name in MODULES:
+async def load_modules(names: abc.Iterable[str]) -> None:
+    """Load modules; read and reply between them."""
+    for name in names:
         importlib.import_module(name)
         for _ in range(ROUNDS):
             await asyncio.sleep(0)
--- a/pomelobend/usage/counts.py
+++ b/pomelobend/usage/counts.py
@@ -36,7 +36,7 @@
 
 MAX_WINDOWS = 1440
 """Number of windows whose sums are kept at most: 2 h of 5 s each. With 80
-teams in 4 domains a compressed window takes 1.6 kB."""
+teams in 4 domains a compressed window takes 1.3 kB."""
 
 
 @attrs.frozen
@@ -212,8 +212,7 @@
             self.packed[window] = zlib.compress(text.encode())
         excess = len(self.packed) - MAX_WINDOWS
         if excess > 0:
-            for window in sorted(self.packed)[:excess]:
-                del self.packed[window]
+            self.forget_before(sorted(self.packed)[excess])
             self.dropped += excess
 
     def _read(self, window: int) -> dict[str, Counts]:
--- /dev/null
+++ b/pomelobend/usage/reporter.py
@@ -0,0 +1,556 @@
+"""The node's part in the usage reports: its counts, and the duty to report."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import typing
+
+import attrs
+import structlog
+
+from pomelobend import errors
+from pomelobend.peers import messages
+from pomelobend.platform import kinds
+from pomelobend.platform import usage_api
+from pomelobend.usage import contention
+from pomelobend.usage import counts as count_module
+from pomelobend.usage import duty as duties
+from pomelobend.usage import exchange as exchange_module
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from pomelobend import clock as clocks
+    from pomelobend.mesh import broadcasts
+    from pomelobend.mesh import directory as directories
+    from pomelobend.mesh import relay_role
+    from pomelobend.platform import objects
+    from pomelobend.platform import settings as platform_settings
+
+logger = structlog.get_logger('usage')
+
+TICK_S = 0.25
+"""Interval of the exchange of counts and of the steps of the duty."""
+
+RENEW_S = 0.9
+"""Time before the end of the lease from which it is renewed while responses
+of the usage API are waited for."""
+
+RESPONSE_TIMEOUT_S = 10.0
+"""Longest wait for the response to a report."""
+
+BACK_OFF_S = (0.25, 4.0)
+"""First and longest pause after reports that were not accepted."""
+
+UNABLE_AFTER = 3
+"""Failures to reach the usage API in a row after which another node tries."""
+
+YIELD_S = 6.0
+"""Time for which a holder that cannot reach the usage API writes nothing. It
+exceeds the lease, so that another node can take over."""
+
+DECLINE_S = 30.0
+"""Time for which a node that could not reach the usage API does not take over
+the duty. While none can reach it, the duty goes round only this often."""
+
+WRITE_RETRY_S = 0.5
+"""Pause after a write to the store that has failed."""
+
+READ_INTERVAL_S = 2.0
+"""Least time between two readings of the store."""
+
+TELL_INTERVAL_S = 1.0
+"""Interval at which a holder tells that it is at work on a late report."""
+
+MAX_PENDING = 12
+MAX_PENDING_COUNTS = 20_000
+"""Reports that the record holds at most, and the sum of their counts."""
+
+RATE_SHARE = 0.5
+"""Share of the calls per second that the usage API takes from all nodes. Two
+holders may send for a moment after a takeover."""
+
+INCOMPLETE_SHARE = 0.75
+"""Share of the time in which a report is due for which the counts of a failure
+domain are waited for."""
+
+
+def read_clocks() -> duties.Reading:
+    """Read the clocks of this VM."""
+    return duties.Reading(
+        time.monotonic(),
+        time.clock_gettime(time.CLOCK_BOOTTIME),
+        time.time(),
+    )
+
+
+@attrs.define(eq=False)
+class Reporter:
+    """Counts the calls of teams, and reports them while it has the duty.
+
+    Parameters
+    ----------
+    settings : platform_settings.UsageReporting
+    is_required : callable
+        Returns whether the configuration has teams.
+    news : contention.News
+        What the holder has told.
+    ended : dict
+        By window that this node has seen end, the monotonic time of it.
+    current : int or None
+        The current window at the last exchange of counts.
+    is_lost : bool
+        Whether a write of this process as the holder had an unknown outcome.
+    failures : int
+        Reports in a row for which the usage API could not be reached.
+    back_off_s : float
+        The last pause; 0 after success.
+    retry_at : float
+        Monotonic time of the next attempt to send reports.
+    yields_until : float
+        Monotonic time until which this node writes nothing as the holder.
+    declines_until : float
+        Monotonic time until which it does not take over the duty.
+    """
+
+    settings: platform_settings.UsageReporting
+    exchange: exchange_module.Exchange
+    duty: duties.Duty
+    api: usage_api.UsageApi
+    store: objects.ObjectStore
+    directory: directories.Directory
+    role: relay_role.RelayRole
+    clock: clocks.Clock
+    is_required: abc.Callable[[], bool]
+    read: abc.Callable[[], duties.Reading] = read_clocks
+    news: contention.News = attrs.field(factory=contention.News)
+    ended: dict[int, float] = attrs.field(factory=dict)
+    current: int | None = None
+    is_lost: bool = False
+    failures: int = 0
+    back_off_s: float = 0.0
+    retry_at: float = float('-inf')
+    yields_until: float = float('-inf')
+    declines_until: float = float('-inf')
+    write_at: float = float('-inf')
+    read_at: float = float('-inf')
+    told_at: float = float('-inf')
+    send_at: float = float('-inf')
+    random: random.Random = attrs.field(factory=random.Random)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: platform_settings.UsageReporting,
+        store: objects.ObjectStore,
+        directory: directories.Directory,
+        role: relay_role.RelayRole,
+        broadcaster: broadcasts.Broadcaster,
+        clock: clocks.Clock,
+        is_required: abc.Callable[[], bool],
+    ) -> Reporter:
+        """Create the part of a node whose settings ask for usage reports."""
+        lease_s = settings.lease.total_seconds()
+        windows = count_module.Windows(settings.window.total_seconds())
+        own = directory.own
+        return cls(
+            settings,
+            exchange_module.Exchange(
+                directory, role, clock, broadcaster.send, windows
+            ),
+            duties.Duty(own.node, own.incarnation, lease_s),
+            usage_api.UsageApi.from_config(settings.address, lease_s, clock),
+            store,
+            directory,
+            role,
+            clock,
+            is_required,
+        )
+
+    @property
+    def recorded(self) -> int:
+        """Return the last window of which a report is known to be recorded."""
+        record = self.duty.record
+        known = record.recorded if record is not None else 0
+        return max(known, self.news.recorded)
+
+    @property
+    def windows(self) -> count_module.Windows:
+        """Return the division of the time into windows."""
+        return self.exchange.windows
+
+    def gauges(self) -> dict[str, abc.Callable[[], float]]:
+        """Return the metrics, by name."""
+        return {
+            'usage_holder': lambda: int(self.duty.is_holder),
+            'usage_token': lambda: (
+                self.duty.record.token if self.duty.record is not None else 0
+            ),
+            'usage_oldest_window_age_seconds': self._oldest_age_s,
+        }
+
+    def handle_lease(self, message: messages.UsageLease) -> None:
+        """Note what the holder tells."""
+        self.news.note(message, self.clock.monotonic())
+        self.duty.note_heard(message.revision, self.read())
+
+    async def run(self) -> None:
+        """Exchange counts, until cancelled."""
+        while True:
+            await self.clock.sleep(TICK_S)
+            if self.is_required():
+                self._note_time()
+                self.exchange.tick(self.recorded)
+
+    async def run_duty(self) -> None:
+        """Report while this node has the duty, until cancelled."""
+        while True:
+            await self.clock.sleep(TICK_S)
+            if self.exchange.first is None or not self.is_required():
+                continue
+            if self.is_lost:
+                await self._find_out()
+            elif self.duty.is_holder:
+                await self._hold()
+            elif self.role.is_relay:
+                await self._contend()
+
+    def _note_time(self) -> None:
+        """Note which windows have ended, and the first to be reported."""
+        current = self.exchange.current()
+        now = self.clock.monotonic()
+        if self.exchange.first is None:
+            self.exchange.first = current + 1
+            logger.info('usage: reports begin', window=current + 1)
+        for window in range(self.current or current, current):
+            self.ended[window] = now
+            if len(self.ended) > count_module.KEPT_WINDOWS:
+                del self.ended[min(self.ended)]
+        self.current = current
+
+    async def _hold(self) -> None:
+        """Record and send what is due."""
+        now = self.clock.monotonic()
+        if now < max(self.write_at, self.yields_until):
+            return
+        reports, missing = self._ready()
+        is_retried = bool(self.duty.unsent()) and now >= self.retry_at
+        if not reports and not is_retried:
+            self._tell_if_late(now)
+            return
+        is_certain = self.duty.left_s(self.read()) > RENEW_S
+        if (reports or not is_certain) and not await self._write(reports):
+            return
+        _log_incomplete(reports, missing)
+        if self.clock.monotonic() >= self.retry_at:
+            await self._deliver()
+        self._tell()
+
+    async def _contend(self) -> None:
+        """Take over the duty if its holder does not do it."""
+        now = self.clock.monotonic()
+        plan = self._plan()
+        if now < self.write_at or not plan.is_due(self.exchange.wall_s(), now):
+            return
+        if not self._is_record_current():
+            await self._read_record(now)
+            return
+        if not self.duty.may_write(self.read()):
+            return
+        self._skip_oldest()
+        reports, missing = self._ready()
+        before = self.duty.record
+        if not await self._write(reports):
+            return
+        logger.warning(
+            'usage: duty taken over',
+            holder_before=before.holder if before is not None else None,
+            token=self.duty.record.token,
+            resent=len(self.duty.unsent()) - len(reports),
+        )
+        _log_incomplete(reports, missing)
+        self.failures = 0
+        await self._deliver()
+        self._tell()
+
+    def _plan(self) -> contention.Plan:
+        """Return when this node should take over."""
+        record = self.duty.record
+        domains = sorted(self._domains())
+        recorded = self.recorded or self.exchange.first - 1
+        sums = self.exchange.sums
+        return contention.Plan(
+            self.windows,
+            recorded,
+            domains.index(self.directory.own.domain),
+            bool(self._missing(recorded + 1)),
+            self.settings.latest.total_seconds() * INCOMPLETE_SHARE,
+            self.settings.lease.total_seconds(),
+            self.news,
+            not self.recorded,
+            record is not None
+            and not self.duty.is_holder
+            and record.recorded == recorded
+            and record.domains < len(sums.domains(recorded)),
+            self.declines_until,
+        )
+
+    def _is_record_current(self) -> bool:
+        """Return whether the newest known record has been read."""
+        seen = self.duty.seen
+        if seen is None:
+            return False
+        return (seen.revision or 0) >= self.news.revision
+
+    async def _read_record(self, now: float) -> None:
+        """Read the record from the store."""
+        if now - self.read_at < READ_INTERVAL_S:
+            return
+        self.read_at = now
+        try:
+            listing = await self.store.list(kinds.DUTIES)
+            found = {item.name: item for item in listing.items}
+            item = found.get(kinds.USAGE_DUTY)
+            record = duties.Record.from_spec(item.spec) if item else None
+        except (errors.PlatformError, errors.MalformedError) as error:
+            logger.warning('usage: record not read', why=str(error)[:200])
+            return
+        revision = item.revision if item else None
+        self.duty.note_read(revision, record, self.read())
+
+    async def _find_out(self) -> None:
+        """Read what the store holds after a write with an unknown outcome."""
+        now = self.clock.monotonic()
+        if now >= self.write_at:
+            await self._read_record(now)
+            self.is_lost = self.duty.seen is None
+
+    async def _write(self, reports: list[duties.Report]) -> bool:
+        """Write the record, and return whether it was written."""
+        if self.duty.seen is None:
+            await self._read_record(self.clock.monotonic())
+        if not self.duty.may_write(self.read()):
+            return False
+        revision = self.duty.seen.revision
+        record = self._begin_write(reports)
+        try:
+            item = await self.store.write(
+                kinds.DUTIES, kinds.USAGE_DUTY, record.to_spec(), revision
+            )
+        except errors.PlatformUnavailableError as error:
+            self.duty.note_not_written()
+            self._note_write_failed(error)
+            return False
+        except errors.PlatformError as error:
+            self.is_lost = self.duty.is_holder
+            self.duty.note_write_lost()
+            self._note_write_failed(error)
+            return False
+        except BaseException:
+            self.is_lost = self.duty.is_holder
+            self.duty.note_write_lost()
+            raise
+        self.duty.note_written(item.revision)
+        self._tell()
+        return True
+
+    def _begin_write(self, reports: list[duties.Report]) -> duties.Record:
+        record = self.duty.record
+        recorded = record.recorded if record else self.exchange.first - 1
+        if recorded + 1 < self.exchange.sums.oldest:
+            logger.warning(
+                'usage: windows skipped, their counts are lost',
+                first=recorded + 1,
+                last=self.exchange.sums.oldest - 1,
+            )
+            recorded = self.exchange.sums.oldest - 1
+        domains = None
+        if reports:
+            recorded = reports[-1].window
+            domains = len(self.exchange.sums.domains(recorded))
+        return self.duty.begin_write(reports, recorded, domains, self.read())
+
+    def _note_write_failed(self, error: Exception) -> None:
+        self.write_at = self.clock.monotonic() + WRITE_RETRY_S
+        logger.warning('usage: record not written', why=str(error)[:200])
+
+    async def _deliver(self) -> None:
+        """Send what is recorded while the lease is certain, and renew it.
+
+        Whatever has not been answered when the lease ends is aborted.
+        """
+        began = self.clock.monotonic()
+        tasks = {
+            asyncio.create_task(self._send(report))
+            for report in self.duty.unsent()
+        }
+        renewal = None
+        try:
+            while tasks:
+                left_s = self.duty.left_s(self.read())
+                if left_s <= 0.0:
+                    break
+                if self.clock.monotonic() - began > RESPONSE_TIMEOUT_S:
+                    break
+                if renewal is None and left_s <= RENEW_S:
+                    renewal = asyncio.create_task(self._renew())
+                wait_s = left_s if renewal else left_s - RENEW_S
+                done, _ = await asyncio.wait(
+                    {*tasks, renewal} - {None},
+                    timeout=wait_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                tasks -= done
+                renewal = None if renewal in done else renewal
+        finally:
+            self.failures += len(tasks)
+            for task in tasks:
+                task.cancel()
+        if renewal is not None:
+            await renewal
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._note_delivered()
+
+    async def _renew(self) -> None:
+        """Renew the lease; pause if that fails."""
+        if not await self._write([]):
+            await self.clock.sleep(WRITE_RETRY_S)
+
+    async def _send(self, report: duties.Report) -> None:
+        """Send one report at its turn, within the rate of the API."""
+        token = self.duty.record.token
+        now = self.clock.monotonic()
+        self.send_at = max(
+            now, self.send_at + 1 / (self.settings.calls_per_s * RATE_SHARE)
+        )
+        await self.clock.sleep(self.send_at - now)
+        outcome = await self.api.send(
+            report,
+            self.duty.holder,
+            token,
+            lambda: self.duty.left_s(self.read()) > 0.0,
+        )
+        if outcome is usage_api.Outcome.ACCEPTED:
+            self.duty.note_accepted(report.window)
+        if outcome is usage_api.Outcome.UNREACHABLE:
+            self.failures += 1
+        elif outcome is not usage_api.Outcome.NOT_SENT:
+            self.failures = 0
+
+    def _note_delivered(self) -> None:
+        """Set the pause before the next reports are sent."""
+        now = self.clock.monotonic()
+        if not self.duty.unsent():
+            self.back_off_s = 0.0
+            return
+        first_s, longest_s = BACK_OFF_S
+        self.back_off_s = min(max(2 * self.back_off_s, first_s), longest_s)
+        self.retry_at = now + self.back_off_s * self.random.uniform(0.7, 1.0)
+        if self.failures >= UNABLE_AFTER and self.duty.is_holder:
+            self.yields_until = now + YIELD_S
+            self.declines_until = now + DECLINE_S
+            logger.warning(
+                'usage: API not reached, another node may take over',
+                failures=self.failures,
+                unsent=len(self.duty.unsent()),
+            )
+            self.failures = 0
+
+    def _ready(self) -> tuple[list[duties.Report], dict[int, set[str]]]:
+        """Return the reports that may be recorded, and what they lack."""
+        record = self.duty.record
+        first = record.recorded + 1 if record else self.exchange.first
+        first = max(first, self.exchange.sums.oldest)
+        unsent = self.duty.unsent()
+        size = sum(len(report.counts) for report in unsent)
+        reports: list[duties.Report] = []
+        missing: dict[int, set[str]] = {}
+        for window in range(first, self.exchange.current()):
+            lacks = self._missing(window)
+            if lacks and self._age_s(window) < self._incomplete_s:
+                break
+            counts = self.exchange.sums.total(window)
+            size += len(counts)
+            count = len(unsent) + len(reports)
+            if count and (count >= MAX_PENDING or size > MAX_PENDING_COUNTS):
+                break
+            reports.append(duties.Report(window, counts))
+            if lacks:
+                missing[window] = lacks
+        return reports, missing
+
+    @property
+    def _incomplete_s(self) -> float:
+        return self.settings.latest.total_seconds() * INCOMPLETE_SHARE
+
+    def _missing(self, window: int) -> set[str]:
+        """Return the failure domains without a sum of a window."""
+        return self._domains() - self.exchange.sums.domains(window)
+
+    def _domains(self) -> set[str]:
+        known = {node.domain for node in self.directory.known.values()}
+        return known - {''} | {self.directory.own.domain}
+
+    def _age_s(self, window: int) -> float:
+        """Return how long ago a window has ended."""
+        ended = self.ended.get(window)
+        if ended is None:
+            return self.exchange.wall_s() - self.windows.end(window)
+        return self.clock.monotonic() - ended
+
+    def _oldest_age_s(self) -> float:
+        """Return how long ago the oldest window without a report has ended.
+
+        It is 0 at a node that does not have the duty.
+        """
+        if not self.duty.is_holder:
+            return 0.0
+        unsent = [report.window for report in self.duty.unsent()]
+        oldest = min(unsent, default=self.duty.record.recorded + 1)
+        return max(self.exchange.wall_s() - self.windows.end(oldest), 0.0)
+
+    def _skip_oldest(self) -> None:
+        """Forget windows of a time of which no node holds counts."""
+        oldest = self.exchange.current() - count_module.MAX_WINDOWS
+        self.exchange.sums.forget_before(oldest)
+
+    def _tell_if_late(self, now: float) -> None:
+        """Tell that this node is at work while a report is late."""
+        record = self.duty.record
+        end = self.windows.end(record.recorded + 1)
+        is_late = bool(self.duty.unsent()) or self.exchange.wall_s() > end + 1
+        if is_late and now - self.told_at >= TELL_INTERVAL_S:
+            self._tell()
+
+    def _tell(self) -> None:
+        """Tell the other nodes of the record, and what was accepted."""
+        seen = self.duty.seen
+        if seen is None or not self.duty.is_holder:
+            return
+        self.told_at = self.clock.monotonic()
+        unsent = [report.window for report in self.duty.unsent()]
+        accepted = min(unsent, default=seen.record.recorded + 1) - 1
+        message = messages.UsageLease(
+            self.duty.incarnation,
+            seen.revision,
+            max(seen.record.recorded, 0),
+            max(accepted, 0),
+            self.told_at >= self.yields_until,
+        )
+        self.news.note(message, self.told_at)
+        self.exchange.broadcast(message)
+
+
+def _log_incomplete(
+    reports: list[duties.Report], missing: dict[int, set[str]]
+) -> None:
+    """Log the windows that are reported without all domains."""
+    for report in reports:
+        if report.window in missing:
+            logger.warning(
+                'usage: window reported incomplete',
+                window=report.window,
+                missing=sorted(missing[report.window]),
+            )
