--- a/pomelobend/admission/team_order.py
+++ b/pomelobend/admission/team_order.py
@@ -115,6 +115,8 @@
 
     def note_served(self, call: calls.Call) -> None:
         """Count a call that gets a slot."""
+        if not self.flows:
+            return
         flow = self.flows.get((call.is_nested, call.priority, call.team))
         if flow is not None:
             flow.served += 1.0
