--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -44,6 +44,8 @@
     unparsed_size : int
         Size of the parts that came before the end of its head, or after it in
         a row without a byte of its body.
+    first_size : int
+        Size of the part in which it began, which may hold others as well.
     body_size : int
     head_bytes : int
         The part of the holding that its head takes.
@@ -59,6 +61,7 @@
     headers: message.Headers = attrs.field(factory=list)
     size: int = 0
     unparsed_size: int = 0
+    first_size: int = 0
     has_head: bool = False
     body: bodies.Blocks = attrs.field(factory=bodies.Blocks)
     body_size: int = 0
@@ -93,7 +96,7 @@
         """
         size = self.size
         if not self.has_head:
-            size = max(size, self.unparsed_size)
+            size = max(size, self.first_size + self.unparsed_size)
         return REQUEST_BYTES + size + HEADER_BYTES * len(self.headers)
 
     def hold_head(self) -> None:
--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -12,6 +12,7 @@
 from pomelobend.http import message
 from pomelobend.memory import budget as budgets
 from pomelobend.memory import eviction
+from pomelobend import turns
 
 MAX_PIPELINED = 8
 """Queued requests of a connection above which reading from it pauses."""
@@ -173,6 +174,9 @@
             return
         self.incoming.byte_at = self.server.clock.monotonic()
         if self.incoming is not previous:
+            if not self.incoming.has_head:
+                self.incoming.first_size = min(size, turns.SLICE_BYTES)
+                self._hold_head()
             return
         previous.unparsed_size += size
         if not previous.has_head:
