--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -330,9 +330,9 @@
 
     def _give_up_incoming(self) -> None:
         """Refuse what comes, as others need its memory."""
-        now = self.server.clock.monotonic()
-        is_stalled = self.incoming is not None and eviction.is_stalled(
-            self.incoming.byte_at, now
+        holding = self.incoming.holding if self.incoming is not None else None
+        is_stalled = holding is not None and eviction.is_stalled(
+            holding, self.server.budget.clock()
         )
         self._refuse(
             errors.RequestMalformedError(
--- a/pomelobend/memory/eviction.py
+++ b/pomelobend/memory/eviction.py
@@ -19,6 +19,10 @@
 is dropped before others that still arrive. A sound sender may pause for about
 a second when packets are lost."""
 
+LONG_S = 5.0
+"""Time after which a request counts as stalled although bytes still come. A
+sender of single bytes would keep its memory otherwise."""
+
 Item = typing.TypeVar('Item')
 Body = typing.TypeVar('Body', bound='Receivable')
 
@@ -77,12 +81,14 @@
 def longest_stalled(bodies: abc.Iterable[Body], now: float) -> Body | None:
     """Return the stalled body that has been incomplete the longest."""
     return min(
-        (body for body in bodies if is_stalled(body.sender_at, now)),
+        (body for body in bodies if is_stalled(body, now)),
         key=lambda body: body.began_at,
         default=None,
     )
 
 
-def is_stalled(sender_at: float | None, now: float) -> bool:
-    """Return whether the sender of a request has paused for too long."""
-    return sender_at is not None and now - sender_at >= STALLED_S
+def is_stalled(body: Receivable, now: float) -> bool:
+    """Return whether the sender of a request takes too long."""
+    if body.sender_at is None:
+        return False
+    return now - body.sender_at >= STALLED_S or now - body.began_at >= LONG_S
--- a/tests/memory/test_memory_eviction.feature
+++ b/tests/memory/test_memory_eviction.feature
@@ -20,6 +20,14 @@
     Then it is not given up
     And the 2 oldest requests alone are given up
 
+  # Guards against senders of single bytes, which never pause.
+  Scenario: a request that takes very long goes first although bytes come
+    Given a budget of 16 MB with requests of 2, 3, 3 MB whose senders stall
+    When their senders send 1 byte each second for 5 s
+    And a request grows to 3 MB 0 s later
+    Then it is not given up
+    And the request of 2 MB alone is given up
+
   # Guards against senders that are dropped while their bytes still come.
   Scenario: of requests that arrive the largest goes first
     Given a budget of 16 MB with requests of 2, 4, 3 MB whose senders stall
--- a/tests/steps/test_memory_eviction.py
+++ b/tests/steps/test_memory_eviction.py
@@ -89,6 +89,14 @@
     context.body = _request(context, size * factor)
 
 
+@behave.when('their senders send 1 byte each second for {seconds:d} s')
+def when_slow(context: typing.Any, seconds: int) -> None:
+    for _ in range(seconds):
+        context.clock.time_s += 1.0
+        for holding in context.held:
+            holding.grow(1)
+
+
 @behave.then('the request of {size:d} MB alone is given up')
 def then_alone(context: typing.Any, size: int) -> None:
     (first, *others) = sorted(
