--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -30,6 +30,11 @@
 """Estimated remaining time of a call that has exceeded its expected run time,
 as a share of the mean run time."""
 
+NESTED_PRIORITY = -1
+"""Priority of nested calls in the queue. They start before all new calls and
+are never refused for one: their parents have slots already, and refusing them
+wastes that work. They are few and short beside their parents."""
+
 State = registrations.State
 
 
@@ -106,14 +111,16 @@
         errors.CallRefusedError
         """
         now = self.clock.monotonic()
-        self.shares.note_offered(call.priority, now)
+        if not call.is_nested:
+            self.shares.note_offered(call.priority, now)
         if self._may_start(now) and not self.queue.size:
             self._occupy_slot(call, now)
             return
         run_s = self._expected_run_s(call, now)
         ready = asyncio.get_running_loop().create_future()
-        priority = self.shares.effective_priority(call.priority)
-        queued = waiting.QueuedCall(call, ready, run_s, now, priority)
+        queued = waiting.QueuedCall(
+            call, ready, run_s, now, self._queue_priority(call)
+        )
         wait_s = self.wait_s(queued.order)
         left_s = TIMELY_SHARE * (call.due - now)
         if wait_s + run_s > left_s:
@@ -133,6 +140,16 @@
                 self.queue.drop(queued)
             raise
 
+    def _queue_priority(self, call: call_module.Call) -> int:
+        """Return the priority of a call among those that wait.
+
+        Nested calls do not count for the shares of the priorities: a starved
+        priority would otherwise get theirs.
+        """
+        if call.is_nested:
+            return NESTED_PRIORITY
+        return self.shares.effective_priority(call.priority)
+
     def _makes_others_late(
         self, newcomer: waiting.QueuedCall, now: float
     ) -> bool:
@@ -163,7 +180,8 @@
     def _occupy_slot(self, call: call_module.Call, now: float) -> None:
         self.expected_ends[call] = now + self._expected_run_s(call, now)
         self.cold.note_admitted(now)
-        self.shares.note_served(call.priority)
+        if not call.is_nested:
+            self.shares.note_served(call.priority)
 
     def _expected_run_s(self, call: call_module.Call, now: float) -> float:
         """Return the expected run time of a call, in s."""
--- a/tests/routing/test_routing_nested.feature
+++ b/tests/routing/test_routing_nested.feature
@@ -53,3 +53,22 @@
     Given a node whose target runs a call that has 0 ms left
     When its target sends a nested request with a deadline of 810 ms
     Then it is refused with 503 and counted
+
+  # Guards against parents that fail while further targets have not been asked.
+  Scenario Outline: a <kind> call that <count> targets refuse after <after_ms> ms each has been sent to <sent>
+    Given a node that knows <count> targets that refuse calls after <after_ms> ms
+    When a <kind> call with 800 ms left is delivered
+    Then it is refused after <sent> sends, before its deadline
+
+    Examples:
+      | kind     | count | after_ms | sent |
+      | new      | 20    | 1        | 4    |
+      | nested   | 20    | 1        | 8    |
+      | nested   | 6     | 1        | 6    |
+      | nested   | 20    | 300      | 3    |
+
+  # Guards against nested calls that avoid targets for queues that they pass.
+  Scenario: a nested call expects to wait less than a new one at a long queue
+    Given a node that knows 1 targets that refuse calls after 1 ms
+    When the target reports a wait of 0.4 s
+    Then a nested call expects to wait 0.2 s and a new one 0.4 s
--- a/tests/steps/test_admission_overload.py
+++ b/tests/steps/test_admission_overload.py
@@ -48,6 +48,7 @@
     """Calls per second of a route, with its priority and objective.
 
     Of a route that ``is_replaced`` another one takes its place each second.
+    Its calls run for ``run_s`` on average.
     """
 
     name: str
@@ -55,6 +56,8 @@
     priority: int
     objective_ms: int
     is_replaced: bool = False
+    is_nested: bool = False
+    run_s: float = RUN_S
 
 
 @behave.given(
@@ -104,6 +107,7 @@
         route_name=f'{route.name}-{number}',
         priority=route.priority,
         deadline=call.started + DEADLINE_S,
+        is_nested=route.is_nested,
     )
 
 
@@ -112,7 +116,7 @@
     context.outcomes = []
 
     async def offer(route: Offered) -> None:
-        run_s = RUN_S * context.rng.lognormvariate(0.0, RUN_SPREAD)
+        run_s = route.run_s * context.rng.lognormvariate(0.0, RUN_SPREAD)
         await gate_steps.offer(context, new_call(context, route, run_s))
 
     async def arrive(route: Offered) -> None:
--- a/tests/steps/test_routing_nested.py
+++ b/tests/steps/test_routing_nested.py
@@ -21,8 +21,10 @@
 from pomelobend.platform import decode
 from pomelobend.routing import call as call_module
 from pomelobend.routing import startup as startups
+from pomelobend.routing import target_stats
 from standins import mesh
 from tests.steps import test_admission_gate as gate_steps
+from tests.steps import test_routing_startup as startup_steps
 
 LONG_S = 60.0
 
@@ -195,3 +197,72 @@
     assert not context.delivery.delivered
     counts = context.front.counters
     assert counts.get('nested_calls_received') == 1
+
+
+@behave.given(
+    'a node that knows {count:d} targets that refuse calls after {ms:d} ms'
+)
+def given_refusing(context: typing.Any, count: int, ms: int) -> None:
+    state = types.SimpleNamespace(table=None, version=2)
+    startup_steps.given_start(context, state.table, lambda: None, 0.0)
+    context.run(asyncio.sleep(startups_over_s()))
+    for number in range(count):
+        context.remote.learn(f'other-{number}')
+        context.remote.refusing.add(f'other-{number}')
+    context.remote.refuses_after_s = ms / 1000
+
+
+def startups_over_s() -> float:
+    """Return a time after which a node no longer waits for targets."""
+    return startups.DISCOVERY_S + 1.0
+
+
+def delivered_call(context: typing.Any, kind: str) -> call_module.Call:
+    """Return a call with 800 ms left."""
+    call = gate_steps.call_of(context.clock, 0.07, 304)
+    return attrs.evolve(
+        call,
+        deadline=call.started + 0.8,
+        is_nested=kind == 'nested',
+    )
+
+
+@behave.when('a {kind} call with 800 ms left is delivered')
+def when_delivered(context: typing.Any, kind: str) -> None:
+    context.call = delivered_call(context, kind)
+    context.refusal = None
+    try:
+        context.run(context.front.delivery.deliver(context.call))
+    except errors.CallRefusedError as refusal:
+        context.refusal = refusal
+
+
+@behave.then('it is refused after {sent:d} sends, before its deadline')
+def then_sends(context: typing.Any, sent: int) -> None:
+    assert context.refusal is not None
+    assert context.refusal.run is errors.Run.NOT_RUN
+    assert context.remote.sent == sent, context.remote.sent
+    assert context.loop.time() <= context.call.deadline + 0.1
+
+
+@behave.when('the target reports a wait of {wait_s:g} s')
+def when_reported(context: typing.Any, wait_s: float) -> None:
+    (member,) = context.remote.known
+    placer = context.front.delivery.placer
+    placer.stats(member).note_capacity(0, wait_s)
+
+
+@behave.then(
+    'a nested call expects to wait {nested_s:g} s and a new one {new_s:g} s'
+)
+def then_waits(context: typing.Any, nested_s: float, new_s: float) -> None:
+    (member,) = context.remote.known
+    stats = context.front.delivery.placer.stats(member)
+    actual = [
+        target_stats.wait_of(stats, delivered_call(context, kind))
+        for kind in ('nested', 'new')
+    ]
+    expected = [nested_s, new_s]
+    assert all(
+        math.isclose(*pair) for pair in zip(actual, expected, strict=True)
+    ), actual
