--- a/pomelobend/platform/usage_api.py
+++ b/pomelobend/platform/usage_api.py
@@ -28,7 +28,9 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024
 
-CONNECT_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+"""Another node can take over only after the lease, within the 10 s in which a
+report is due, so that a link that is cut must be noticed soon."""
 
 READ_TIMEOUT_S = 10.0
 """Longest gap between bytes of a response; a report has a shorter limit."""
--- a/pomelobend/usage/contention.py
+++ b/pomelobend/usage/contention.py
@@ -102,20 +102,19 @@
     knows_more: bool
     yields_until: float
 
-    def is_due(self, wall_s: float, now: float) -> bool:
+    def is_due(self, since_end_s: float, now: float) -> bool:
         """Return whether the relay should take over.
 
         Parameters
         ----------
-        wall_s : float
-            Time in seconds since 1970.
+        since_end_s : float
+            Time since the end of the window after the last recorded one.
         now : float
             Monotonic time.
         """
         if now < self.yields_until:
             return False
         rank_s = self.rank * RANK_S
-        since_end_s = wall_s - self.windows.end(self.recorded + 1)
         if self.is_first:
             return since_end_s >= rank_s
         silent_s = now - self.news.heard_at
--- a/pomelobend/usage/exchange.py
+++ b/pomelobend/usage/exchange.py
@@ -6,6 +6,7 @@
 import typing
 
 import attrs
+import structlog
 
 from pomelobend import errors
 from pomelobend.peers import messages
@@ -20,6 +21,8 @@
     from pomelobend.peers import connection as connections
     from pomelobend.routing import call as call_module
 
+logger = structlog.get_logger('usage')
+
 SEND_INTERVAL_S = 0.5
 """Least time between two messages with the counts of a window that goes on."""
 
@@ -73,6 +76,10 @@
         By window, the sum of the own domain as broadcast.
     first : int or None
         The first window to be reported; None while none is.
+    noted : int or None
+        The current window at the last tick.
+    ended : dict
+        By window that this node has seen end, the monotonic time of it.
     relay_since : float or None
         Monotonic time from which on this node has been the relay.
     flushed_at : float
@@ -104,6 +111,8 @@
     )
     published: dict[int, Published] = attrs.field(factory=dict)
     first: int | None = None
+    noted: int | None = None
+    ended: dict[int, float] = attrs.field(factory=dict)
     relay_since: float | None = None
     flushed_at: float = float('-inf')
     flushed_window: int = 0
@@ -134,6 +143,19 @@
         own = self.windows.number(self.wall_s())
         return statistics.median_low([own, *told])
 
+    def age_s(self, window: int) -> float:
+        """Return how long ago a window has ended, negative if it has not.
+
+        It is measured from when this node has seen the window end, so that a
+        step of its clock does not count.
+        """
+        if self.noted is None or window >= self.noted:
+            return -1.0
+        ended = self.ended.get(window)
+        if ended is None:
+            return (self.noted - 1 - window) * self.windows.length_s
+        return self.clock.monotonic() - ended
+
     def note_sent(self, call: call_module.Call) -> None:
         """Count a call that is sent to the local target."""
         if call.team and not call.is_nested:
@@ -153,10 +175,11 @@
         if is_due or own_window != self.flushed_window:
             self.flushed_at, self.flushed_window = now, own_window
             self._flush(own_window)
+        self._note_time(window, now)
+        self._forget(window, recorded)
         self._update_role(now)
         if self.relay_since is not None:
             self._publish(window, recorded, now)
-        self._forget(window, recorded)
 
     def handle_counts(
         self,
@@ -169,13 +192,15 @@
         ------
         errors.ProtocolError
         """
-        sender = (connection.hello.node, connection.hello.incarnation)
+        hello = connection.hello
+        sender = (message.node, message.incarnation)
         rows = [_row(item) for item in message.windows]
         latest = self.windows.number(self.wall_s()) + MAX_AHEAD
         for window, counts in rows:
             if window <= latest:
                 self.nodes.merge(sender, window, counts)
-        self._note_closed(sender, message.closed)
+        if sender == (hello.node, hello.incarnation):
+            self._note_closed(sender, message.closed)
 
     def handle_sums(self, message: messages.UsageSums) -> None:
         """Merge the sums of a failure domain.
@@ -216,9 +241,27 @@
         for connection in recipients:
             changes = self.local.changes_since(self.sent.get(connection, 0))
             rows = [[number, counts] for number, counts in changes.items()]
-            connection.send_if_open(messages.UsageCounts(rows, window - 1))
+            connection.send_if_open(
+                messages.UsageCounts(*self.own, rows, window - 1)
+            )
+            if connection not in self.sent:
+                self._pass_on(connection)
         self.sent = dict.fromkeys(recipients, last_round)
 
+    def _pass_on(self, connection: connections.Connection) -> None:
+        """Send the counts of processes that have ended to another relay."""
+        live = {
+            (record.node, record.incarnation)
+            for record in self.directory.domain_records()
+        }
+        ended: dict[count_module.Sender, list] = {}
+        for window, senders in self.nodes.by_window.items():
+            for sender, counts in senders.items():
+                if sender not in live:
+                    ended.setdefault(sender, []).append([window, counts])
+        for sender, rows in ended.items():
+            connection.send_if_open(messages.UsageCounts(*sender, rows, 0))
+
     def _recipients(self) -> list[connections.Connection]:
         """Return the connections to the relay and to its deputy.
 
@@ -243,6 +286,21 @@
         for window in range(min(first, closed), closed + 1):
             self.nodes.close(sender, window)
 
+    def _note_time(self, current: int, now: float) -> None:
+        """Note which windows have ended, and the first to be reported."""
+        if self.first is None:
+            self.first = current + 1
+            logger.info('usage: reports begin', window=current + 1)
+        if self.noted is None:
+            self.noted = current
+        # Windows that a step of the clocks passes over have ended long ago.
+        first = max(self.noted, current - count_module.KEPT_WINDOWS)
+        for window in range(first, current):
+            self.ended[window] = now
+        self.noted = max(self.noted, current)
+        for window in sorted(self.ended)[: -count_module.KEPT_WINDOWS]:
+            del self.ended[window]
+
     def _update_role(self, now: float) -> None:
         if not self.role.is_relay:
             self.relay_since = None
@@ -280,8 +338,8 @@
         ]
         if self.nodes.is_closed(window, [self.own, *senders]):
             return True
-        since_end_s = self.wall_s() - self.windows.end(window)
-        return min(since_end_s, now - self.relay_since) >= SETTLE_S
+        since_s = min(self.age_s(window), now - self.relay_since)
+        return since_s >= SETTLE_S
 
     def _broadcast(self, rows: list[list]) -> None:
         domain = self.directory.own.domain
--- a/pomelobend/usage/reporter.py
+++ b/pomelobend/usage/reporter.py
@@ -38,14 +38,20 @@
 """Time before the end of the lease from which it is renewed while responses
 of the usage API are waited for."""
 
-RESPONSE_TIMEOUT_S = 10.0
-"""Longest wait for the response to a report."""
+MIN_WAIT_S = 0.01
+"""Least wait between two looks at the lease while reports are sent."""
+
+PATIENCE_S = (3.5, 10.0)
+"""Least and longest wait for the response to a report. The least one leaves
+time for another node to take over within the 10 s in which a report is due;
+it is doubled when it was reached, as the API may be slow for all nodes."""
 
 BACK_OFF_S = (0.25, 4.0)
 """First and longest pause after reports that were not accepted."""
 
-UNABLE_AFTER = 3
-"""Failures to reach the usage API in a row after which another node tries."""
+UNABLE_AFTER = 2
+"""Failures to reach the usage API in a row after which another node tries. A
+response that does not come counts as so many."""
 
 YIELD_S = 6.0
 """Time for which a holder that cannot reach the usage API writes nothing. It
@@ -55,8 +61,8 @@
 """Time for which a node that could not reach the usage API does not take over
 the duty. While none can reach it, the duty goes round only this often."""
 
-WRITE_RETRY_S = 0.5
-"""Pause after a write to the store that has failed."""
+STORE_BACK_OFF_S = (0.5, 4.0)
+"""First and longest pause after calls to the store that have failed."""
 
 READ_INTERVAL_S = 2.0
 """Least time between two readings of the store."""
@@ -97,10 +103,6 @@
         Returns whether the configuration has teams.
     news : contention.News
         What the holder has told.
-    ended : dict
-        By window that this node has seen end, the monotonic time of it.
-    current : int or None
-        The current window at the last exchange of counts.
     is_lost : bool
         Whether a write of this process as the holder had an unknown outcome.
     failures : int
@@ -113,6 +115,16 @@
         Monotonic time until which this node writes nothing as the holder.
     declines_until : float
         Monotonic time until which it does not take over the duty.
+    patience_s : float
+        How long a response to a report is waited for.
+    store_back_off_s : float
+        The last pause after a failed call to the store; 0 after success.
+    write_at, read_at : float
+        Monotonic time of the next call to the store, and of the last reading.
+    told_at : float
+        Monotonic time at which the other nodes were last told of the duty.
+    send_at : float
+        Monotonic time at which the last report was or will be sent.
     """
 
     settings: platform_settings.UsageReporting
@@ -126,14 +138,14 @@
     is_required: abc.Callable[[], bool]
     read: abc.Callable[[], duties.Reading] = read_clocks
     news: contention.News = attrs.field(factory=contention.News)
-    ended: dict[int, float] = attrs.field(factory=dict)
-    current: int | None = None
     is_lost: bool = False
     failures: int = 0
     back_off_s: float = 0.0
     retry_at: float = float('-inf')
     yields_until: float = float('-inf')
     declines_until: float = float('-inf')
+    patience_s: float = PATIENCE_S[0]
+    store_back_off_s: float = 0.0
     write_at: float = float('-inf')
     read_at: float = float('-inf')
     told_at: float = float('-inf')
@@ -201,7 +213,6 @@
         while True:
             await self.clock.sleep(TICK_S)
             if self.is_required():
-                self._note_time()
                 self.exchange.tick(self.recorded)
 
     async def run_duty(self) -> None:
@@ -217,19 +228,6 @@
             elif self.role.is_relay:
                 await self._contend()
 
-    def _note_time(self) -> None:
-        """Note which windows have ended, and the first to be reported."""
-        current = self.exchange.current()
-        now = self.clock.monotonic()
-        if self.exchange.first is None:
-            self.exchange.first = current + 1
-            logger.info('usage: reports begin', window=current + 1)
-        for window in range(self.current or current, current):
-            self.ended[window] = now
-            if len(self.ended) > count_module.KEPT_WINDOWS:
-                del self.ended[min(self.ended)]
-        self.current = current
-
     async def _hold(self) -> None:
         """Record and send what is due."""
         now = self.clock.monotonic()
@@ -252,7 +250,8 @@
         """Take over the duty if its holder does not do it."""
         now = self.clock.monotonic()
         plan = self._plan()
-        if now < self.write_at or not plan.is_due(self.exchange.wall_s(), now):
+        since_end_s = self.exchange.age_s(plan.recorded + 1)
+        if now < self.write_at or not plan.is_due(since_end_s, now):
             return
         if not self._is_record_current():
             await self._read_record(now)
@@ -315,8 +314,10 @@
             item = found.get(kinds.USAGE_DUTY)
             record = duties.Record.from_spec(item.spec) if item else None
         except (errors.PlatformError, errors.MalformedError) as error:
+            self._back_off_from_store()
             logger.warning('usage: record not read', why=str(error)[:200])
             return
+        self.store_back_off_s = 0.0
         revision = item.revision if item else None
         self.duty.note_read(revision, record, self.read())
 
@@ -352,6 +353,7 @@
             self.is_lost = self.duty.is_holder
             self.duty.note_write_lost()
             raise
+        self.store_back_off_s = 0.0
         self.duty.note_written(item.revision)
         self._tell()
         return True
@@ -373,9 +375,20 @@
         return self.duty.begin_write(reports, recorded, domains, self.read())
 
     def _note_write_failed(self, error: Exception) -> None:
-        self.write_at = self.clock.monotonic() + WRITE_RETRY_S
+        self._back_off_from_store()
         logger.warning('usage: record not written', why=str(error)[:200])
 
+    def _back_off_from_store(self) -> None:
+        """Set the pause after a call to the store that has failed."""
+        first_s, longest_s = STORE_BACK_OFF_S
+        self.store_back_off_s = min(
+            max(2 * self.store_back_off_s, first_s), longest_s
+        )
+        self.write_at = (
+            self.clock.monotonic()
+            + self.store_back_off_s * self.random.uniform(0.7, 1.0)
+        )
+
     async def _deliver(self) -> None:
         """Send what is recorded while the lease is certain, and renew it.
 
@@ -392,20 +405,21 @@
                 left_s = self.duty.left_s(self.read())
                 if left_s <= 0.0:
                     break
-                if self.clock.monotonic() - began > RESPONSE_TIMEOUT_S:
+                patience_s = began + self.patience_s - self.clock.monotonic()
+                if patience_s <= 0.0:
+                    self._note_no_response()
                     break
                 if renewal is None and left_s <= RENEW_S:
                     renewal = asyncio.create_task(self._renew())
                 wait_s = left_s if renewal else left_s - RENEW_S
                 done, _ = await asyncio.wait(
                     {*tasks, renewal} - {None},
-                    timeout=wait_s,
+                    timeout=max(min(wait_s, patience_s), MIN_WAIT_S),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 tasks -= done
                 renewal = None if renewal in done else renewal
         finally:
-            self.failures += len(tasks)
             for task in tasks:
                 task.cancel()
         if renewal is not None:
@@ -413,10 +427,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._note_delivered()
 
+    def _note_no_response(self) -> None:
+        """Note that reports were not answered in time."""
+        self.failures += UNABLE_AFTER
+        self.patience_s = min(2 * self.patience_s, PATIENCE_S[1])
+
     async def _renew(self) -> None:
         """Renew the lease; pause if that fails."""
         if not await self._write([]):
-            await self.clock.sleep(WRITE_RETRY_S)
+            await self.clock.sleep(STORE_BACK_OFF_S[0])
 
     async def _send(self, report: duties.Report) -> None:
         """Send one report at its turn, within the rate of the API."""
@@ -426,6 +445,7 @@
             now, self.send_at + 1 / (self.settings.calls_per_s * RATE_SHARE)
         )
         await self.clock.sleep(self.send_at - now)
+        began = self.clock.monotonic()
         outcome = await self.api.send(
             report,
             self.duty.holder,
@@ -434,6 +454,10 @@
         )
         if outcome is usage_api.Outcome.ACCEPTED:
             self.duty.note_accepted(report.window)
+            took_s = self.clock.monotonic() - began
+            self.patience_s = min(
+                max(2 * took_s, PATIENCE_S[0]), PATIENCE_S[1]
+            )
         if outcome is usage_api.Outcome.UNREACHABLE:
             self.failures += 1
         elif outcome is not usage_api.Outcome.NOT_SENT:
@@ -467,9 +491,9 @@
         size = sum(len(report.counts) for report in unsent)
         reports: list[duties.Report] = []
         missing: dict[int, set[str]] = {}
-        for window in range(first, self.exchange.current()):
+        for window in range(first, self.exchange.noted):
             lacks = self._missing(window)
-            if lacks and self._age_s(window) < self._incomplete_s:
+            if lacks and self.exchange.age_s(window) < self._incomplete_s:
                 break
             counts = self.exchange.sums.total(window)
             size += len(counts)
@@ -493,13 +517,6 @@
         known = {node.domain for node in self.directory.known.values()}
         return known - {''} | {self.directory.own.domain}
 
-    def _age_s(self, window: int) -> float:
-        """Return how long ago a window has ended."""
-        ended = self.ended.get(window)
-        if ended is None:
-            return self.exchange.wall_s() - self.windows.end(window)
-        return self.clock.monotonic() - ended
-
     def _oldest_age_s(self) -> float:
         """Return how long ago the oldest window without a report has ended.
 
@@ -509,18 +526,18 @@
             return 0.0
         unsent = [report.window for report in self.duty.unsent()]
         oldest = min(unsent, default=self.duty.record.recorded + 1)
-        return max(self.exchange.wall_s() - self.windows.end(oldest), 0.0)
+        return max(self.exchange.age_s(oldest), 0.0)
 
     def _skip_oldest(self) -> None:
         """Forget windows of a time of which no node holds counts."""
-        oldest = self.exchange.current() - count_module.MAX_WINDOWS
+        oldest = self.exchange.noted - count_module.MAX_WINDOWS
         self.exchange.sums.forget_before(oldest)
 
     def _tell_if_late(self, now: float) -> None:
         """Tell that this node is at work while a report is late."""
         record = self.duty.record
-        end = self.windows.end(record.recorded + 1)
-        is_late = bool(self.duty.unsent()) or self.exchange.wall_s() > end + 1
+        age_s = self.exchange.age_s(record.recorded + 1)
+        is_late = bool(self.duty.unsent()) or age_s > TELL_INTERVAL_S
         if is_late and now - self.told_at >= TELL_INTERVAL_S:
             self._tell()
 
--- a/tests/mesh/test_mesh_slow_start.feature
+++ b/tests/mesh/test_mesh_slow_start.feature
@@ -27,3 +27,4 @@
     When the modules of a node are loaded in their order by another process
     Then no step loads more than one module of the project
     And the last one is that of the node
+    And a node without usage reports loads none of their modules
--- a/tests/mesh/test_mesh_usage.feature
+++ b/tests/mesh/test_mesh_usage.feature
@@ -35,8 +35,8 @@
       | the store is away for 13 s          |
       | the API takes 6 s for each response |
 
-  # Guards against modules that take memory where nothing is reported.
-  Scenario: a node without an address of the API loads no module of the reports
+  # Guards against reports where the settings ask for none.
+  Scenario: nodes without an address of the API take no part in reports
     Given a deployment whose settings lack the bounds of the cold limit
     When its nodes are started
     Then a call through each node is answered by a target
--- a/tests/steps/test_mesh_slow_start.py
+++ b/tests/steps/test_mesh_slow_start.py
@@ -11,6 +11,7 @@
 
 import behave
 
+from pomelobend.mesh import starting
 from standins import fleet
 from standins import slow_modules
 from tests.steps import test_mesh_deadlines as deadline_steps
@@ -39,9 +40,15 @@
     before = loaded()
     importlib.import_module(name)
     steps[name] = sorted(loaded() - before)
-print(json.dumps(steps))
+early = [name for name in starting.USAGE_MODULES if name in sys.modules]
+for name in starting.USAGE_MODULES:
+    before = loaded()
+    importlib.import_module(name)
+    steps[name] = sorted(loaded() - before)
+print(json.dumps([steps, early]))
 """
-"""Loads the modules of a node; prints what each step has loaded."""
+"""Loads the modules of a node, then those of usage reports; prints what each
+step has loaded, and which of the latter a node without them has loaded."""
 
 WORK_S = 0.05
 REFUSED = 503
@@ -148,7 +155,7 @@
         text=True,
         cwd=fleet.ROOT,
     )
-    context.steps = json.loads(completed.stdout)
+    context.steps, context.early = json.loads(completed.stdout)
 
 
 @behave.then('no step loads more than one module of the project')
@@ -159,4 +166,10 @@
 
 @behave.then('the last one is that of the node')
 def then_node(context: typing.Any) -> None:
-    assert list(context.steps)[-1] == 'pomelobend.mesh.node', context.steps
+    last = list(context.steps)[-len(starting.USAGE_MODULES) - 1]
+    assert last == 'pomelobend.mesh.node', context.steps
+
+
+@behave.then('a node without usage reports loads none of their modules')
+def then_no_usage(context: typing.Any) -> None:
+    assert not context.early, context.early
