--- a/tests/steps/test_mesh_usage_simulated.py
+++ b/tests/steps/test_mesh_usage_simulated.py
@@ -445,5 +445,5 @@
 
 @behave.then('links between domains carry at most {most:d} bytes a second')
 def then_bytes(context: typing.Any, most: int) -> None:
-    print("bytes a second", context.bytes_per_s)
+    print('bytes a second', context.bytes_per_s)
     assert context.bytes_per_s <= most, context.bytes_per_s
--- a/tests/steps/test_usage_counts.py
+++ b/tests/steps/test_usage_counts.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import collections
+import json
+import types
 import typing
 
 import behave
 import hypothesis
 from hypothesis import strategies
 
+from pomelobend import clock as clocks
+from pomelobend import errors
+from pomelobend.peers import messages
 from pomelobend.usage import counts
+from pomelobend.usage import exchange
 
 WINDOWS = counts.Windows(5.0)
 
@@ -151,3 +157,47 @@
 def then_all(context: typing.Any) -> None:
     found = context.local.changes_since(0)
     assert found == {7: {'pulo780': 1}, 8: {'pulo780': 1}}, found
+
+
+@behave.given('the exchange of a node')
+def given_exchange(context: typing.Any) -> None:
+    context.exchange = exchange.Exchange(
+        None, None, clocks.SystemClock(), None, WINDOWS
+    )
+
+
+@behave.when(
+    'calls of {team}, of no team and a nested one of {other} are sent'
+)
+def when_sent(context: typing.Any, team: str, other: str) -> None:
+    for name, is_nested in ((team, False), ('', False), (other, True)):
+        call = types.SimpleNamespace(team=name, is_nested=is_nested)
+        context.exchange.note_sent(call)
+
+
+@behave.then('the node has counted {count:d} call of {team}')
+def then_counted(context: typing.Any, count: int, team: str) -> None:
+    found = list(context.exchange.local.by_window.values())
+    assert found == [{team: count}], found
+
+
+@behave.then('sums with the item {text} are refused')
+def then_refused(context: typing.Any, text: str) -> None:
+    try:
+        context.exchange.handle_sums(
+            messages.UsageSums('vik', [json.loads(text)])
+        )
+    except errors.ProtocolError:
+        return
+    raise AssertionError(text)
+
+
+@behave.when('sums of a window that begins in an hour come')
+def when_ahead(context: typing.Any) -> None:
+    window = WINDOWS.number(context.exchange.wall_s() + 3600)
+    context.exchange.handle_sums(messages.UsageSums('vik', [[window, {}]]))
+
+
+@behave.then('no window is known')
+def then_none_known(context: typing.Any) -> None:
+    assert not context.exchange.sums.by_window
--- a/tests/usage/test_usage_counts.feature
+++ b/tests/usage/test_usage_counts.feature
@@ -30,3 +30,30 @@
     Given calls of a node counted in windows 7 and 8
     Then the changes since the first round hold only window 8
     And the changes since the start hold both windows
+
+  # Guards against counts of calls that have no header of a team.
+  Scenario: calls without a team and nested calls are not counted
+    Given the exchange of a node
+    When calls of pulo780, of no team and a nested one of pulo780 are sent
+    Then the node has counted 1 call of pulo780
+
+  # Guards against counts that are no counts, which would be added up.
+  Scenario Outline: counts that are malformed are refused, <item>
+    Given the exchange of a node
+    Then sums with the item <item> are refused
+
+    Examples:
+      | item                 |
+      | 7                    |
+      | [7]                  |
+      | [-1, {}]             |
+      | [7, {"a": -1}]       |
+      | [7, {"a": 1.5}]      |
+      | [7, {"a": true}]     |
+      | [7, [["a", 1]]]      |
+
+  # Guards against memory that windows far ahead would take.
+  Scenario: counts of windows far ahead are ignored
+    Given the exchange of a node
+    When sums of a window that begins in an hour come
+    Then no window is known
