Admission: slots reserved for urgent calls; reports for calls of a rank

The wait in AnswerStart and Refused is now that of calls like the one that is answered: a queue of less urgent calls no longer keeps urgent ones away from a target, and nested calls see that they start first.

While urgent calls have to wait, calls that run for longer than the objectives of more urgent ones leave them as many slots as their arrivals use on average. Nothing is reserved without such waits or for short calls.

--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 import attrs
 
 from pomelobend.admission import cold as colds
 from pomelobend.admission import registration as registrations
+from pomelobend.admission import reserve as reserves
 from pomelobend.admission import shares as share_module
 from pomelobend.admission import waiting
 from pomelobend import errors
@@ -50,6 +52,8 @@
         Returns whether the failure domain of this node is out of service.
     expected_ends : dict
         Monotonic time at which each running call is expected to end.
+    reserve : Reserve
+        Slots that less urgent calls leave to more urgent ones.
     """
 
     clock: clocks.Clock
@@ -58,6 +62,7 @@
     is_withdrawn: abc.Callable[[], bool]
     cold: colds.ColdLimit
     expected_ends: dict[call_module.Call, float] = attrs.field(factory=dict)
+    reserve: reserves.Reserve = attrs.field(factory=reserves.Reserve)
     queue: waiting.Queue = attrs.field(factory=waiting.Queue)
     run_times: waiting.RunTimes = attrs.field(factory=waiting.RunTimes)
     shares: share_module.ServedShares = attrs.field(
@@ -76,18 +81,37 @@
         count = self.registration.slots
         return max(0, count - self.running - self.queue.size)
 
-    def wait_s(self, order: waiting.Order = waiting.LAST) -> float:
+    def capacity(self, priority: int, *, is_nested: bool) -> tuple[int, float]:
+        """Return the free slots and the wait in s for calls of a priority.
+
+        They start before less urgent ones, however many of these wait.
+        """
+        order = (NESTED_PRIORITY if is_nested else priority, math.inf)
+        overtaken = self.queue.size - len(self.queue.before(order))
+        free = self.free
+        if overtaken and not free:
+            count = self.registration.slots - self.running
+            free = max(0, count - self.queue.size + overtaken)
+        return free, self.wait_s(order)
+
+    def wait_s(
+        self, order: waiting.Order = waiting.LAST, run_s: float = 0.0
+    ) -> float:
         """Return the expected wait of a new call in s.
 
         Parameters
         ----------
         order : waiting.Order
             Its place in the queue; by default behind all others.
+        run_s : float
+            Its expected run time in s, for which slots may be reserved.
         """
         now = self.clock.monotonic()
         if not self.registration.slots:
             return 0.0
         schedule = self._slot_schedule(now)
+        excess = self._reserve_excess(order[0], run_s, now)
+        del schedule.free_at[: min(excess, len(schedule.free_at) - 1)]
         for queued in self.queue.before(order):
             schedule.book(queued.run_s)
         return max(0.0, schedule.next_start - now)
@@ -111,17 +135,18 @@
         errors.CallRefusedError
         """
         now = self.clock.monotonic()
+        run_s = self._expected_run_s(call, now)
         if not call.is_nested:
             self.shares.note_offered(call.priority, now)
-        if self._may_start(now) and not self.queue.size:
+        self._note_arrival(call, run_s, now)
+        priority = self._queue_priority(call)
+        if self._may_start(priority, run_s, now) and not self.queue.size:
             self._occupy_slot(call, now)
             return
-        run_s = self._expected_run_s(call, now)
+        self._note_wait(call, now)
         ready = asyncio.get_running_loop().create_future()
-        queued = waiting.QueuedCall(
-            call, ready, run_s, now, self._queue_priority(call)
-        )
-        wait_s = self.wait_s(queued.order)
+        queued = waiting.QueuedCall(call, ready, run_s, now, priority)
+        wait_s = self.wait_s(queued.order, run_s)
         left_s = TIMELY_SHARE * (call.due - now)
         if wait_s + run_s > left_s:
             estimate = f'wait {wait_s:.3f} run {run_s:.3f} left {left_s:.3f}'
@@ -147,7 +172,7 @@
         priority would otherwise get theirs.
         """
         if call.is_nested:
-            return NESTED_PRIORITY
+            return _rank(call)
         return self.shares.effective_priority(call.priority)
 
     def _makes_others_late(
@@ -171,12 +196,51 @@
             if queued is not newcomer and queued not in late_before
         )
 
-    def _may_start(self, now: float) -> bool:
+    def _may_start(self, priority: int, run_s: float, now: float) -> bool:
+        """Return whether a call may start if none precedes it."""
         return (
             self.running < self.registration.slots
             and self.cold.free_at(now) <= now
+            and self._reserve_excess(priority, run_s, now) <= 0
         )
 
+    def _reserve_excess(self, priority: int, run_s: float, now: float) -> int:
+        """Return how many calls hold slots that are reserved from a call.
+
+        So many that are as urgent as it or less must end before it starts.
+        Without a reserve the result is 0.
+        """
+        slots = self.registration.slots
+        reserved = self.reserve.size(priority, run_s, slots, now)
+        if not reserved:
+            return 0
+        same = sum(call.priority >= priority for call in self._running_new)
+        return max(0, same + 1 - (slots - reserved))
+
+    @property
+    def _running_new(self) -> list[call_module.Call]:
+        """Return the running calls that are not nested."""
+        return [call for call in self.expected_ends if not call.is_nested]
+
+    def _note_arrival(
+        self, call: call_module.Call, run_s: float, now: float
+    ) -> None:
+        """Note a call for the reserve.
+
+        A nested call that misses its objective is still of use to its parent
+        until its deadline.
+        """
+        until = call.deadline if call.is_nested else call.due
+        self.reserve.note_arrival(_rank(call), run_s, until - now, now)
+
+    def _note_wait(self, waiting_call: call_module.Call, now: float) -> None:
+        """Note that a call waits while less urgent ones have slots."""
+        rank = _rank(waiting_call)
+        if self.running >= self.registration.slots and any(
+            call.priority > rank for call in self._running_new
+        ):
+            self.reserve.note_wait(now)
+
     def _occupy_slot(self, call: call_module.Call, now: float) -> None:
         self.expected_ends[call] = now + self._expected_run_s(call, now)
         self.cold.note_admitted(now)
@@ -208,7 +272,7 @@
             self.timer.cancel()
             self.timer = None
         now = self.clock.monotonic()
-        while self.queue.size and self._may_start(now):
+        while self.queue.size and self._may_start_next(now):
             queued = self.queue.pop()
             if queued.ready.done():
                 continue
@@ -222,6 +286,11 @@
         if self.queue.size:
             self._set_timer(now)
 
+    def _may_start_next(self, now: float) -> bool:
+        """Return whether the first call in the queue may start."""
+        first = self.queue.waiting_calls[0]
+        return self._may_start(first.priority, first.run_s, now)
+
     def _set_timer(self, now: float) -> None:
         """Schedule the next check of the queue.
 
@@ -282,3 +351,8 @@
         reason = errors.Reason.OVERLOADED
         self.counters.add('calls_not_admitted', reason)
         raise errors.CallRefusedError(reason, detail=detail)
+
+
+def _rank(call: call_module.Call) -> int:
+    """Return the priority of a call in the queue unless it is starved."""
+    return NESTED_PRIORITY if call.is_nested else call.priority
--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -16,6 +16,7 @@
 if typing.TYPE_CHECKING:
     from pomelobend.admission import gate as gates
     from pomelobend import calls
+    from pomelobend.peers import messages
     from pomelobend.routing import call as call_module
 
 
@@ -48,6 +49,15 @@
         """Return the expected wait for a slot of a new call, in s."""
         return self.gate.wait_s()
 
+    def capacity(self, priority: int, *, is_nested: bool) -> tuple[int, float]:
+        """Return the free slots and the wait in s for calls of a priority."""
+        return self.gate.capacity(priority, is_nested=is_nested)
+
+    def report(self, start: messages.CallStart) -> tuple[int, int]:
+        """Return the free slots and the wait in ms for calls like one."""
+        free, wait_s = self.capacity(start.rank, is_nested=start.is_nested)
+        return free, round(wait_s * 1000)
+
     async def run(self, call: call_module.Call) -> calls.Answer:
         """Run a call on the target.
 
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -45,6 +45,7 @@
     'pomelobend.membership.member',
     'pomelobend.membership.heartbeat',
     'pomelobend.admission.registration',
+    'pomelobend.admission.reserve',
     'pomelobend.admission.slots',
     'pomelobend.admission.gate',
     'pomelobend.lateness',
