Store: an era beside each revision; lost writes are written again

A store that is restored from an older copy gives out revisions again. Nodes compared revisions alone: after a restore their watches waited at a revision that the store had forgotten, newer objects were taken for older ones, and lost node records and rollout states were never written again.

--- /dev/null
+++ b/pomelobend/mesh/store_merge.py
@@ -0,0 +1,141 @@
+"""What a node keeps when the store returns from an older copy.
+
+Pure decisions, without a network or a clock. Objects of the store are
+replaced by those of a greater position. Where the newer position is of a
+later era, its objects may be older than those that are held; the rules below
+say which of the held ones remain.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from pomelobend import errors
+from pomelobend.platform import decode
+from pomelobend.platform import eras
+from pomelobend.rollouts import rollout as rollouts
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from pomelobend.platform import objects
+
+Items = dict[str, 'objects.StoredObject']
+Rule = typing.Callable[['Items', 'Items', int], 'Items']
+
+UNKNOWN_VERSION = -1
+"""Version of a configuration that is not valid."""
+
+_PROGRESS = {
+    rollouts.State.ORDERED: 0,
+    rollouts.State.RUNNING: 1,
+    rollouts.State.COMPLETED: 2,
+    rollouts.State.ROLLED_BACK: 2,
+}
+
+
+def is_useful(
+    held: eras.Position | None,
+    offered: eras.Position,
+    *,
+    is_stale: bool,
+    era: int,
+) -> bool:
+    """Return whether objects of a position should replace those held.
+
+    Parameters
+    ----------
+    held : eras.Position or None
+        Position of the objects that are held, if there are any.
+    offered : eras.Position
+    is_stale : bool
+        Whether the held ones may be older than their position.
+    era : int
+        Least era whose objects are used.
+    """
+    if offered.era < era:
+        return False
+    if held is None:
+        return True
+    if offered.era != held.era:
+        return offered.era > held.era
+    return is_stale or offered.revision > held.revision
+
+
+def replace(held: Items, found: Items, era: int) -> Items:
+    """Return the objects of the newer position alone."""
+    return found
+
+
+def keep_newest_configuration(held: Items, found: Items, era: int) -> Items:
+    """Return the objects found, without those older than held ones.
+
+    An object that was held in an earlier era remains if the newer position
+    lacks it, or has a lower version of it. Within an era the newer position
+    is right.
+
+    Parameters
+    ----------
+    held, found : dict
+    era : int
+        Era of the newer position.
+    """
+    kept = {
+        name: item
+        for name, item in held.items()
+        if (_is_kept(item, found[name]) if name in found else item.era < era)
+    }
+    return found | kept
+
+
+def _is_kept(held: objects.StoredObject, found: objects.StoredObject) -> bool:
+    return held.era != found.era and _rank(held) > _rank(found)
+
+
+def _rank(item: objects.StoredObject) -> tuple[int, int, int]:
+    return (_version(item.spec), item.era, item.revision)
+
+
+def _version(spec: object) -> int:
+    try:
+        return decode.version(spec['version'])
+    except (errors.MalformedError, TypeError, KeyError):
+        return UNKNOWN_VERSION
+
+
+class Rollout(enum.Enum):
+    """What becomes of a known rollout that a later era shows."""
+
+    SAME = enum.auto()
+    STATE_LOST = enum.auto()
+    OTHER = enum.auto()
+    OBSOLETE = enum.auto()
+
+
+def compare_rollouts(known: rollouts.Order, shown: rollouts.Order) -> Rollout:
+    """Return how a rollout that a later era shows relates to a known one.
+
+    The operator writes its lost orders again without a state, so an order of
+    the same version and duration is the known one, whose state was lost. An
+    ended rollout to another version is an earlier one that the copy brought
+    back; the order after it will be written again.
+    """
+    if known.version != shown.version:
+        is_ended = shown.state in rollouts.ENDED
+        return Rollout.OBSOLETE if is_ended else Rollout.OTHER
+    if _PROGRESS[shown.state] >= _PROGRESS[known.state]:
+        return Rollout.SAME
+    if known.state in rollouts.ENDED and known.duration != shown.duration:
+        return Rollout.OTHER
+    return Rollout.STATE_LOST
+
+
+def held_withdrawals(
+    held: abc.Set[str], withdrawn: abc.Set[str]
+) -> frozenset[str]:
+    """Return the lost withdrawals that are still in effect.
+
+    One that the store holds again is the operator's own from then on.
+    """
+    return frozenset(held - withdrawn)
--- a/tests/steps/test_mesh_listing.py
+++ b/tests/steps/test_mesh_listing.py
@@ -14,6 +14,7 @@
 from pomelobend.mesh import feed as feeds
 from pomelobend.mesh import listing
 from pomelobend.peers import messages
+from pomelobend.platform import eras
 from pomelobend.platform import kinds
 from pomelobend.platform import objects
 from tests.steps import parsed_values
@@ -56,16 +57,20 @@
     is_stale = False
 
     def __init__(self) -> None:
-        self.adopted: list[tuple[int, dict]] = []
+        self.adopted: list[tuple[eras.Position, dict]] = []
         self.digest = b''
 
-    def adopt(self, revision: int, items: dict) -> None:
+    def adopt(self, position: eras.Position, items: dict) -> None:
         """Keep a listing."""
-        self.adopted.append((revision, items))
+        self.adopted.append((position, items))
 
-    def is_older_than(self, revision: int) -> bool:
+    def is_older_than(self, position: eras.Position) -> bool:
         """Return whether a listing is newer than the last one."""
-        return not self.adopted or self.adopted[-1][0] < revision
+        return not self.adopted or self.adopted[-1][0] < position
+
+    def may_differ_at(self, position: eras.Position) -> bool:
+        """Return that all nodes hold the same at a position."""
+        return False
 
 
 @behave.given("a neighbour's listing of {size:d} MB of {what}")
@@ -111,7 +116,7 @@
     """Let the node handle a listing of its neighbour."""
     context.feed.handle_listing(
         types.SimpleNamespace(node='vik-2'),
-        messages.Listing(kinds.NODES, revision, data),
+        messages.Listing(kinds.NODES, 0, revision, data),
     )
 
 
@@ -130,9 +135,11 @@
 @behave.then('the next listing of the neighbour is used')
 def then_next(context: typing.Any) -> None:
     receive(context, 3, listing.pack({}))
-    assert context.watch.adopted == [(3, {})]
+    assert context.watch.adopted == [(eras.Position(0, 3), {})]
 
 
 @behave.then('it has the same objects')
 def then_same(context: typing.Any) -> None:
-    assert context.watch.adopted == [(2, context.items)], context.lines
+    assert context.watch.adopted == [(eras.Position(0, 2), context.items)], (
+        context.lines
+    )
--- a/tests/steps/test_peers_memory.py
+++ b/tests/steps/test_peers_memory.py
@@ -672,7 +672,7 @@
         self, connection: typing.Any, message: messages.Message
     ) -> None:
         """Send a listing."""
-        connection.send_if_open(messages.Listing('config', 1, bytes(MIB)))
+        connection.send_if_open(messages.Listing('config', 0, 1, bytes(MIB)))
 
 
 @behave.when(
--- a/tests/steps/test_peers_parsed.py
+++ b/tests/steps/test_peers_parsed.py
@@ -149,7 +149,9 @@
         [f'hella-t{number:05}' for number in range(3400)],
         True,
     ),
-    'a listing of 2 MiB': lambda: messages.Listing('config', 1, bytes(SIZE)),
+    'a listing of 2 MiB': lambda: messages.Listing(
+        'config', 0, 1, bytes(SIZE)
+    ),
     'an answer of 2 MiB': lambda: messages.AnswerStart(
         1, 200, [['a', 'b']] * 100, b'\x80' * SIZE, True, 0, 0
     ),
