--- a/soak/run.py
+++ b/soak/run.py
@@ -86,6 +86,7 @@
         troubles.crash, troubles.answer_oddly, troubles.answer_oddly
     ),
     'short-store': _short(troubles.vex_store, acts.configure),
+    'short-era': _short(troubles.restore_store, acts.configure),
     'short-reuse': _short(troubles.swap, acts.replace),
     'short-herd': _short(troubles.stop_all, acts.stop_early),
     'short-crowd': _short(troubles.stop_crowded, troubles.stop_crowded),
@@ -220,6 +221,7 @@
             clients.Habits(clients=80, long_idle_share=0.2, pause_s=3.0),
         ),
         'store': Mix((*STOPS, acts.lose_store, acts.configure)),
+        'era': Mix((*STOPS, troubles.restore_store, acts.configure)),
         'uploads': Mix(
             (*STOPS, acts.hup, acts.limit), clients.Habits(upload_share=0.5)
         ),
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from pomelobend.platform import kinds
 from soak import callers
 from soak import disturbances as acts
 
@@ -24,6 +25,12 @@
 ODD_S = (1.0, 3.0)
 """How long a target answers oddly."""
 
+COPY_S = (2.0, 8.0)
+"""Age of the copy from which the store is restored."""
+
+REWRITE_S = (0.2, 3.0)
+"""Time after which the operator writes again what was lost."""
+
 ODD = ('lost', 'cut', 'bytes', 'extra', 'silent')
 
 
@@ -114,6 +121,34 @@
     world.note('store', '*', began, kind)
 
 
+async def restore_store(world: worlds.World) -> None:
+    """Restore an older copy of the store; wait for the nodes' own writes.
+
+    Raises
+    ------
+    TimeoutError
+        The record of a node that was left alone stays lost.
+    """
+    await world.sleep(4.0, 9.0)
+    began = time.time()
+    age_s = world.random.uniform(*COPY_S)
+    await world.restore_store(age_s)
+    await world.sleep(*REWRITE_S)
+    await world.write_again()
+    world.note('store', '*', began, f'restored from {age_s:.1f} s before')
+
+    async def are_back() -> bool:
+        names = await world.processes.get_json(
+            world.store_address, '/stand-in/names'
+        )
+        alone = set(world.vms) - world.held
+        return {world.vms[name].name for name in alone} <= set(
+            (names or {}).get(kinds.NODES, ())
+        )
+
+    await world.processes.wait_until(are_back, acts.START_S)
+
+
 async def kill(world: worlds.World) -> None:
     """Kill a node, and start it again after up to two seconds."""
     with acts.hold(world) as name:
--- a/tests/steps/test_platform_odd_entries.py
+++ b/tests/steps/test_platform_odd_entries.py
@@ -69,8 +69,8 @@
 
     async def _call(
         self, method: str, path: str, body: bytes, wait_s: float
-    ) -> tuple[int, bytes]:
-        return 200, self.bodies.pop(0).encode()
+    ) -> objects.Response:
+        return objects.Response(200, self.bodies.pop(0).encode(), 0)
 
 
 def _store(*bodies: str) -> Store:
