Rollouts: an ending that an older copy lacks is remembered

The copy may show an earlier rollout as running that has ended since. A node remembers how rollouts ended and takes neither these nor the lost ones for new orders. A stateful test of rollouts on a store that is restored.

Of two configurations that nodes had kept from an earlier era, the one that came last replaced the other, whatever its version; the higher one remains now.

--- a/pomelobend/mesh/store_merge.py
+++ b/pomelobend/mesh/store_merge.py
@@ -11,6 +11,8 @@
 import enum
 import typing
 
+import attrs
+
 from pomelobend import errors
 from pomelobend.platform import decode
 from pomelobend.platform import eras
@@ -27,6 +29,10 @@
 UNKNOWN_VERSION = -1
 """Version of a configuration that is not valid."""
 
+MAX_ENDINGS = 100
+"""Number of ended rollouts that are remembered. A copy is some seconds old, so
+few orders of a service are newer than it."""
+
 _PROGRESS = {
     rollouts.State.ORDERED: 0,
     rollouts.State.RUNNING: 1,
@@ -84,13 +90,25 @@
     kept = {
         name: item
         for name, item in held.items()
-        if (_is_kept(item, found[name]) if name in found else item.era < era)
+        if (
+            _is_kept(item, found[name], era)
+            if name in found
+            else item.era < era
+        )
     }
     return found | kept
 
 
-def _is_kept(held: objects.StoredObject, found: objects.StoredObject) -> bool:
-    return held.era != found.era and _rank(held) > _rank(found)
+def _is_kept(
+    held: objects.StoredObject, found: objects.StoredObject, era: int
+) -> bool:
+    """Return whether a held object remains in place of a found one.
+
+    Two objects of the newer era itself are in the order of their positions.
+    """
+    if held.era == found.era == era:
+        return False
+    return _rank(held) > _rank(found)
 
 
 def _rank(item: objects.StoredObject) -> tuple[int, int, int]:
@@ -113,16 +131,24 @@
     OBSOLETE = enum.auto()
 
 
-def compare_rollouts(known: rollouts.Order, shown: rollouts.Order) -> Rollout:
+def compare_rollouts(
+    known: rollouts.Order, shown: rollouts.Order, *, has_ended: bool = False
+) -> Rollout:
     """Return how a rollout that a later era shows relates to a known one.
 
     The operator writes its lost orders again without a state, so an order of
     the same version and duration is the known one, whose state was lost. An
     ended rollout to another version is an earlier one that the copy brought
     back; the order after it will be written again.
+
+    Parameters
+    ----------
+    known, shown : rollouts.Order
+    has_ended : bool
+        Whether the shown rollout is known to have ended in an earlier era.
     """
     if known.version != shown.version:
-        is_ended = shown.state in rollouts.ENDED
+        is_ended = has_ended or shown.state in rollouts.ENDED
         return Rollout.OBSOLETE if is_ended else Rollout.OTHER
     if _PROGRESS[shown.state] >= _PROGRESS[known.state]:
         return Rollout.SAME
@@ -131,6 +157,41 @@
     return Rollout.STATE_LOST
 
 
+@attrs.define(eq=False)
+class Endings:
+    """How the latest rollouts ended, and in which era this became known.
+
+    Parameters
+    ----------
+    found : dict
+        Ended orders and the era, by service and version, in the order in
+        which they became known.
+    """
+
+    found: dict[tuple[str, str], tuple[rollouts.Order, int]] = attrs.field(
+        factory=dict
+    )
+
+    def note(self, order: rollouts.Order, era: int) -> None:
+        """Note the state of an order if it has ended."""
+        if order.state not in rollouts.ENDED:
+            return
+        key = (order.service, order.version)
+        self.found.pop(key, None)
+        self.found[key] = (order, era)
+        if len(self.found) > MAX_ENDINGS:
+            del self.found[next(iter(self.found))]
+
+    def before(self, order: rollouts.Order, era: int) -> rollouts.State | None:
+        """Return how an order ended in an earlier era, if it did."""
+        ended, known_era = self.found.get(
+            (order.service, order.version), (None, era)
+        )
+        if known_era >= era or ended.duration != order.duration:
+            return None
+        return ended.state
+
+
 def held_withdrawals(
     held: abc.Set[str], withdrawn: abc.Set[str]
 ) -> frozenset[str]:
--- a/tests/mesh/test_mesh_store_merge.feature
+++ b/tests/mesh/test_mesh_store_merge.feature
@@ -4,6 +4,10 @@
     When stores are restored while messages are lost, doubled and late
     Then no node goes back, and all agree once the operator has written again
 
+  Scenario: ended rollouts stay ended, and the last one ends everywhere
+    When stores are restored while rollouts are carried out
+    Then no ended rollout begins anew, and the last one ends everywhere
+
   Scenario Outline: the same check fails for nodes that <fault>
     When stores are restored and the nodes <fault>
     Then the check of these nodes fails
@@ -13,6 +17,7 @@
       | compare revisions without their eras  |
       | take older configurations for updates |
       | ignore what others hold at a position |
+      | take older rollout states for updates |
 
   Scenario Outline: a rollout that is <known> and shown as <shown> in a newer era is <outcome>
     Then a rollout known as <known> and shown as <shown> is <outcome>
@@ -62,3 +67,17 @@
     Given a node whose record was written in the era 0
     When the nodes are listed in the era 1 without its record
     Then it writes its record once, as a new object
+
+  Scenario Outline: of the configuration held (<held>) and found (<found>) remains <kept>
+    Then of <held> and <found> in the era 2 remains <kept>
+
+    Examples: version, era and revision of each
+      | held       | found      | kept       |
+      | r9 0 50    | r8 2 40    | r9 0 50    |
+      | r9 0 50    | r9 2 40    | r9 2 40    |
+      | r9 0 50    | nothing    | r9 0 50    |
+      | r9 2 50    | nothing    | nothing    |
+      | r9 2 50    | r8 2 60    | r8 2 60    |
+      | r9 0 50    | r8 0 40    | r9 0 50    |
+      | r8 0 40    | r9 1 30    | r9 1 30    |
+      | invalid 0 9 | r1 2 3    | r1 2 3     |
--- a/tests/steps/test_mesh_store_merge.py
+++ b/tests/steps/test_mesh_store_merge.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import json
 import types
 import typing
 
+import attrs
 import behave
 import hypothesis
 from hypothesis import stateful
@@ -16,6 +18,7 @@
 from pomelobend import errors
 from pomelobend.mesh import feed as feeds
 from pomelobend.mesh import registry as registries
+from pomelobend.mesh import rollout_controller
 from pomelobend.mesh import store_merge
 from pomelobend.mesh import watch as watch_module
 from pomelobend.peers import codec
@@ -23,6 +26,8 @@
 from pomelobend.platform import eras
 from pomelobend.platform import kinds
 from pomelobend.platform import objects
+from pomelobend.rollouts import evidence as evidences
+from pomelobend.rollouts import exposure
 from pomelobend.rollouts import rollout as rollouts
 from tests.steps import clocks
 from tests.steps import test_mesh_rollout_controller as rollout_steps
@@ -35,6 +40,8 @@
 
 MAIN = 'main'
 
+ROLLOUT_S = 6.0
+
 
 class RevisionsOnly(watch_module.Watch):
     """A watch that compares revisions without their eras."""
@@ -266,6 +273,217 @@
         self.none_goes_back()
 
 
+class Forgetful(rollout_controller.RolloutController):
+    """A controller that takes what a newer era shows for an update."""
+
+    def _handle_era(self, *args: typing.Any) -> bool:
+        return False
+
+
+class RolloutStore:
+    """A store with one rollout, which is restored from older copies.
+
+    It compares revisions alone, as the real one does.
+    """
+
+    def __init__(self) -> None:
+        self.era, self.revision = 0, 1
+        self.item: objects.StoredObject | None = None
+        self.copies: list[tuple[int, objects.StoredObject | None]] = []
+
+    def put(self, spec: dict, status: dict | None) -> objects.StoredObject:
+        """Replace the rollout."""
+        self.copies.append((self.revision, self.item))
+        self.revision += 1
+        self.item = objects.StoredObject(
+            rollout_steps.SERVICE, self.revision, spec, status
+        )
+        return self.read()[0]
+
+    def restore(self, age: int) -> None:
+        """Restore the copy of before some changes."""
+        age = min(age, len(self.copies))
+        self.revision, self.item = self.copies[-age]
+        del self.copies[-age:]
+        self.era += 1
+
+    def read(self) -> list[objects.StoredObject]:
+        """Return the rollout, if there is one, with the era."""
+        if self.item is None:
+            return []
+        return [attrs.evolve(self.item, era=self.era)]
+
+    async def write_status(
+        self, kind: str, name: str, status: dict, revision: int
+    ) -> objects.StoredObject:
+        """Replace the status of the rollout at a revision."""
+        if self.item is None:
+            raise errors.PlatformNotFoundError(name)
+        if self.item.revision != revision:
+            raise errors.PlatformConflictError(name, self.item.revision)
+        return self.put(self.item.spec, status)
+
+
+class RolloutMachine(stateful.RuleBasedStateMachine):
+    """Nodes that carry out rollouts on a store that is restored.
+
+    Responses to their listings arrive in any order.
+    """
+
+    controller_class = rollout_controller.RolloutController
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock, self.store = clocks.StepClock(), RolloutStore()
+        self.version = 0
+        self.responses: list[tuple[int, objects.Listing]] = []
+        self.controllers: list[rollout_controller.RolloutController] = []
+        self.nodes = [self._new_node() for _ in range(NODES)]
+        self.ended: list[set[str]] = [set() for _ in range(NODES)]
+
+    def _new_node(self) -> watch_module.Watch:
+        controller = self.controller_class(
+            self.store,
+            types.SimpleNamespace(
+                serving_targets=lambda _: [],
+                known={},
+                own=types.SimpleNamespace(node='n'),
+            ),
+            types.SimpleNamespace(service='innborgun', heartbeat=None),
+            self.clock,
+            None,
+            exposure.Limit(0.1, 50),
+        )
+        watch = watch_module.Watch(
+            kinds.ROLLOUTS,
+            None,
+            self.clock,
+            0.0,
+            controller.apply,
+            on_era=controller.begin_era,
+        )
+        self.controllers.append(controller)
+        return watch
+
+    @stateful.rule()
+    def order(self) -> None:
+        """Let the operator order the next version."""
+        self.version += 1
+        self.write_again()
+
+    @stateful.precondition(lambda self: self.version)
+    @stateful.rule()
+    def write_again(self) -> None:
+        """Let the operator write its order if the store lacks it."""
+        spec = {
+            'service': rollout_steps.SERVICE,
+            'target_version': f'v{self.version}',
+            'duration_s': ROLLOUT_S,
+        }
+        held = self.store.item
+        if held is None or held.spec != spec:
+            self.store.put(spec, held.status if held is not None else None)
+
+    @stateful.precondition(lambda self: self.store.copies)
+    @stateful.rule(age=strategies.integers(1, 4))
+    def restore(self, age: int) -> None:
+        """Restore the copy of before some changes."""
+        self.store.restore(age)
+
+    @stateful.rule(node=strategies.integers(0, NODES - 1))
+    def list_objects(self, node: int) -> None:
+        """Let the store answer a listing; the response may be late."""
+        store = self.store
+        found = objects.Listing(tuple(store.read()), store.revision, store.era)
+        self.responses.append((node, found))
+
+    @stateful.precondition(lambda self: self.responses)
+    @stateful.rule(index=strategies.integers(0, 99))
+    def receive(self, index: int) -> None:
+        """Let a response of the store arrive."""
+        index %= len(self.responses)
+        node, found = self.responses.pop(index)
+        watch = self.nodes[node]
+        self.controllers[node].eras.observe(found.era, 'store')
+        if watch.is_older_than(found.position):
+            watch.adopt(
+                found.position, {item.name: item for item in found.items}
+            )
+
+    @stateful.rule(node=strategies.integers(0, NODES - 1))
+    def write_state(self, node: int) -> None:
+        """Let a node write the state that is due."""
+        controller = self.controllers[node]
+        for plan in controller.plans.values():
+            with contextlib.suppress(StopIteration):
+                controller._write_if_due(plan).send(None)
+
+    @stateful.rule(seconds=strategies.floats(0.1, 1.0))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.time_s += seconds
+
+    @stateful.rule()
+    def succeed(self) -> None:
+        """Let all nodes know of good outcomes at the new versions."""
+        for controller in self.controllers:
+            for plan in controller.plans.values():
+                plan.evidence.record(
+                    'a',
+                    plan.version,
+                    self.clock.time_s,
+                    {'lookup': evidences.Tally(5, 0, 0.5)},
+                )
+
+    @stateful.invariant()
+    def ended_stay_ended(self) -> None:
+        """Check that no rollout begins anew that has ended on a node."""
+        for node, controller in enumerate(self.controllers):
+            for plan in controller.plans.values():
+                if plan.order.state in rollouts.ENDED:
+                    self.ended[node].add(plan.version)
+                assert (
+                    plan.version not in self.ended[node]
+                    or plan.order.state in rollouts.ENDED
+                ), (node, plan.order)
+
+    def teardown(self) -> None:
+        """Check that the last rollout ends once its order is written.
+
+        Its end stays after copies without the final state, and without all
+        of its states, are restored.
+        """
+        if not self.version:
+            return
+        self.responses.clear()
+        self._settle()
+        for age in (1, 2):
+            self.restore(age)
+            self._settle()
+
+    def _settle(self) -> None:
+        self.write_again()
+        for _ in range(round(2 * ROLLOUT_S)):
+            for node in range(NODES):
+                self.list_objects(node)
+                self.receive(0)
+                self.ended_stay_ended()
+                self.write_state(node)
+            self.clock.time_s += 1.0
+        status = self.store.item.status
+        assert status['target_version'] == f'v{self.version}', status
+        assert rollouts.State(status['state']) in rollouts.ENDED, status
+        for controller in self.controllers:
+            order = controller.plans[rollout_steps.SERVICE].order
+            assert str(order.state) == status['state'], (order, status)
+
+
+class WithoutStates(RolloutMachine):
+    """Nodes that take older rollout states for updates."""
+
+    controller_class = Forgetful
+
+
 class WithoutEras(Machine):
     """Nodes that compare revisions without their eras."""
 
@@ -285,13 +503,14 @@
 
 
 BROKEN = {
+    'take older rollout states for updates': WithoutStates,
     'compare revisions without their eras': WithoutEras,
     'take older configurations for updates': WithoutMerge,
     'ignore what others hold at a position': WithoutExchange,
 }
 
 
-def _check(machine: type[Machine]) -> None:
+def _check(machine: type[stateful.RuleBasedStateMachine]) -> None:
     stateful.run_state_machine_as_test(
         machine,
         settings=hypothesis.settings(
@@ -317,6 +536,16 @@
     _check(context.machine)
 
 
+@behave.when('stores are restored while rollouts are carried out')
+def when_rollouts(context: typing.Any) -> None:
+    context.machine = RolloutMachine
+
+
+@behave.then('no ended rollout begins anew, and the last one ends everywhere')
+def then_ended(context: typing.Any) -> None:
+    _check(context.machine)
+
+
 @behave.when('stores are restored and the nodes {fault}')
 def when_broken(context: typing.Any, fault: str) -> None:
     context.machine = BROKEN[fault]
@@ -536,3 +765,23 @@
     context.run(act())
     assert context.store.writes == [None, None], context.store.writes
     assert context.told == ['written'], context.told
+
+
+def _configuration(text: str) -> dict[str, objects.StoredObject]:
+    if text == 'nothing':
+        return {}
+    version, era, revision = text.split()
+    spec = {'version': version}
+    item = objects.StoredObject(MAIN, int(revision), spec, None, era=int(era))
+    return {MAIN: item}
+
+
+@behave.then('of {held} and {found} in the era {era:d} remains {kept}')
+def then_remains(
+    context: typing.Any, held: str, found: str, era: int, kept: str
+) -> None:
+    """Guard against kept versions that an older kept one replaces."""
+    result = store_merge.keep_newest_configuration(
+        _configuration(held), _configuration(found), era
+    )
+    assert result == _configuration(kept), result
