--- a/pomelobend/http/incoming.py
+++ b/pomelobend/http/incoming.py
@@ -44,6 +44,8 @@
     unparsed_size : int
         Size of the parts that came before the end of its head, or after it in
         a row without a byte of its body.
+    first_size : int
+        Size of the part in which it began, which may hold others as well.
     body_size : int
     head_bytes : int
         The part of the holding that its head takes.
@@ -51,6 +53,8 @@
         Whether its time has ended, and what waits in the kernel is read.
     is_dropped : bool
         Whether it was refused, and what still comes of it is not kept.
+    is_answered : bool
+        Whether its reply follows from its head; its body is read and dropped.
     """
 
     began_at: float
@@ -59,6 +63,7 @@
     headers: message.Headers = attrs.field(factory=list)
     size: int = 0
     unparsed_size: int = 0
+    first_size: int = 0
     has_head: bool = False
     body: bodies.Blocks = attrs.field(factory=bodies.Blocks)
     body_size: int = 0
@@ -66,6 +71,12 @@
     head_bytes: int = 0
     is_overdue: bool = False
     is_dropped: bool = False
+    is_answered: bool = False
+
+    def skip(self, size: int) -> None:
+        """Count a part of a body that is dropped."""
+        self.unparsed_size = 0
+        self.body_size += size
 
     def add(self, part: bytes) -> None:
         """Store a part of the body, whose bytes are held.
@@ -80,6 +91,14 @@
         self.unparsed_size = 0
         self.body_size += len(part)
 
+    @property
+    def has_optional_body(self) -> bool:
+        """Return whether the client sends the body only if it may go on."""
+        names = {name for name, _ in self.headers}
+        return 'expect' in names and not names.isdisjoint(
+            ('content-length', 'transfer-encoding')
+        )
+
     @property
     def is_ordinary(self) -> bool:
         """Return whether the head takes no more than an ordinary one."""
@@ -87,8 +106,14 @@
 
     @property
     def _memory_bytes(self) -> int:
-        """Return what the head takes."""
-        return REQUEST_BYTES + self.size + HEADER_BYTES * len(self.headers)
+        """Return what the head takes.
+
+        The parser keeps a header until it is complete.
+        """
+        size = self.size
+        if not self.has_head:
+            size = max(size, self.first_size + self.unparsed_size)
+        return REQUEST_BYTES + size + HEADER_BYTES * len(self.headers)
 
     def hold_head(self) -> None:
         """Hold what the head takes so far.
@@ -109,7 +134,7 @@
 
     def _count_head(self) -> int:
         """Return what of the head was not counted before."""
-        more = self._memory_bytes - self.head_bytes
+        more = max(0, self._memory_bytes - self.head_bytes)
         self.head_bytes += more
         return more
 
--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -11,6 +11,8 @@
 from pomelobend.http import incoming as incoming_module
 from pomelobend.http import message
 from pomelobend.memory import budget as budgets
+from pomelobend.memory import eviction
+from pomelobend import turns
 
 MAX_PIPELINED = 8
 """Queued requests of a connection above which reading from it pauses."""
@@ -71,6 +73,7 @@
         parts, previous = self.parts, self.incoming
         try:
             self._feed(data)
+            self._add_body()
             self._note_progress(previous, len(data))
         except errors.RequestMalformedError as error:
             self._refuse(error)
@@ -138,8 +141,8 @@
             self._drop_input()
             return
         if self.input_holding is None:
-            self.input_holding = self.server.budget.open(
-                budgets.Place.REQUESTS, self._give_up_incoming
+            self.input_holding = self.server.budget.open_input(
+                self._give_up_incoming, self.group
             )
         holding = self.input_holding
         if size > holding.size:
@@ -171,8 +174,13 @@
             return
         self.incoming.byte_at = self.server.clock.monotonic()
         if self.incoming is not previous:
+            if not self.incoming.has_head:
+                self.incoming.first_size = min(size, turns.SLICE_BYTES)
+                self._hold_head()
             return
         previous.unparsed_size += size
+        if not previous.has_head:
+            self._hold_head()
         if previous.unparsed_size <= self.bounds.header_bytes:
             return
         if not previous.has_head:
@@ -190,6 +198,7 @@
         return incoming
 
     def _drop_incoming(self) -> None:
+        self.pieces.clear()
         incoming = self._take_incoming()
         if incoming is not None:
             incoming.drop()
@@ -269,6 +278,10 @@
             return
         self.incoming.check_framing()
         self.incoming.has_head = True
+        refusal = self.server.check_head(self._head())
+        if refusal is not None:
+            self._answer_early(refusal)
+            return
         self._hold_head()
         for name, value in self.incoming.headers:
             if name == 'content-length':
@@ -276,9 +289,66 @@
             elif name == 'expect' and value.lower() == '100-continue':
                 self.transport.write(message.CONTINUE)
 
+    def _head(self) -> message.Request:
+        """Return the request that is being received, without its body."""
+        return message.Request(
+            self.parser.get_method().decode('ascii'),
+            self.incoming.target,
+            self.incoming.headers,
+        )
+
+    def _answer_early(self, refusal: message.Reply) -> None:
+        """Reply to a request by its head; its body is read and dropped.
+
+        A client that asks to go on may leave out the body after a refusal, so
+        what follows could be a body or a request. The connection ends then.
+        """
+        self.incoming.is_answered = True
+        if self.incoming.holding is not None:
+            self.incoming.holding.release()
+            self.incoming.holding = None
+        is_keep_alive = (
+            self.parser.should_keep_alive()
+            and not self.incoming.has_optional_body
+        )
+        self._enqueue(
+            message.Request(
+                self.parser.get_method().decode('ascii'),
+                b'',
+                [],
+                is_keep_alive=is_keep_alive,
+                refusal=refusal,
+            )
+        )
+
+    def _enqueue(self, request: message.Request) -> None:
+        self.queue.append(request)
+        if self.task is None:
+            self.task = asyncio.create_task(self._serve())
+
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
+        """Store a part of the body until its slice is parsed."""
         self.parts += 1
+        if self.incoming.is_answered:
+            self._check_body_limit(self.incoming.body_size + len(body))
+            self.incoming.skip(len(body))
+            return
+        self.pieces.append(body)
+
+    def _add_body(self) -> None:
+        """Add what has come of a body in a slice.
+
+        Very small chunks are added together, as each addition takes far more
+        time than parsing a chunk.
+
+        Raises
+        ------
+        errors.RequestMalformedError
+        """
+        if not self.pieces:
+            return
+        body = b''.join(self.pieces)
+        self.pieces.clear()
         self._check_body_size(self.incoming.body_size + len(body))
         if self.incoming.holding is None:
             self._open_holding()
@@ -299,24 +369,35 @@
             self.incoming.hold_head()
 
     def _open_holding(self) -> None:
-        self.incoming.holding = self.server.budget.open(
-            budgets.Place.REQUESTS, self._give_up_incoming
+        self.incoming.holding = self.server.budget.open_request(
+            self._give_up_incoming, self.group
         )
 
     def _give_up_incoming(self) -> None:
         """Refuse what comes, as others need its memory."""
+        holding = self.incoming.holding if self.incoming is not None else None
+        is_stalled = holding is not None and eviction.is_stalled(
+            holding, self.server.budget.clock()
+        )
         self._refuse(
-            errors.RequestMalformedError(503, 'no memory for a request')
+            errors.RequestMalformedError(
+                408 if is_stalled else 503, 'no memory for a request'
+            )
         )
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         if self.parser.should_upgrade():
             return
+        self._add_body()
         incoming = self._take_incoming()
+        if incoming.is_answered:
+            self._begin_period()
+            return
         if incoming.holding is not None:
             incoming.holding.complete()
-        self.queue.append(
+        self._begin_period()
+        self._enqueue(
             message.Request(
                 self.parser.get_method().decode('ascii'),
                 incoming.target,
@@ -328,9 +409,6 @@
                 incoming.head_bytes,
             )
         )
-        self._begin_period()
-        if self.task is None:
-            self.task = asyncio.create_task(self._serve())
 
     def _check_content_length(self, value: str) -> None:
         if not value.isdigit():
@@ -346,15 +424,18 @@
         ------
         errors.RequestMalformedError
         """
-        if size > self.bounds.body_bytes:
-            raise errors.RequestMalformedError(
-                413, 'request body exceeds the size limit'
-            )
+        self._check_body_limit(size)
         try:
             self.server.budget.check_length(size)
         except errors.MemoryFullError as error:
             raise errors.RequestMalformedError(413, str(error)) from error
 
+    def _check_body_limit(self, size: int) -> None:
+        if size > self.bounds.body_bytes:
+            raise errors.RequestMalformedError(
+                413, 'request body exceeds the size limit'
+            )
+
     def _count_head_bytes(self, size: int) -> None:
         self.incoming.size += size
         if self.incoming.size > self.bounds.header_bytes:
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -18,6 +18,7 @@
 
 from pomelobend import clock as clocks
 from pomelobend import errors
+from pomelobend.http import crowds
 from pomelobend.http import message
 from pomelobend.http import server as servers
 from pomelobend.memory import budget as budgets
@@ -39,7 +40,9 @@
     'pomelobend.admission.cold',
     'pomelobend.admission.crashes',
     'pomelobend.admission.outcome',
+    'pomelobend.admission.parents',
     'pomelobend.admission.shares',
+    'pomelobend.admission.team_order',
     'pomelobend.admission.waiting',
     'pomelobend.membership.member',
     'pomelobend.membership.heartbeat',
@@ -125,6 +128,16 @@
 )
 """Modules of a node, in an order in which each needs only those before it."""
 
+USAGE_MODULES = (
+    'pomelobend.platform.usage_api',
+    'pomelobend.usage.contention',
+    'pomelobend.usage.counts',
+    'pomelobend.usage.duty',
+    'pomelobend.usage.exchange',
+    'pomelobend.usage.reporter',
+)
+"""The same of a node that takes part in usage reports, to be loaded last."""
+
 ROUNDS = 4
 """Rounds of the event loop between two steps. A request is accepted, read and
 replied to in several."""
@@ -202,16 +215,23 @@
     """
     clock = clocks.SystemClock()
     front = StartingFront(clock, asyncio.get_running_loop().create_future())
+    budget = budgets.Budget.of_node(settings.memory_mb * budgets.MB)
+    limits = crowds.Limits.of_callers(
+        crowds.descriptor_limit(), budget.max_bytes
+    )
     server = servers.Server(
         settings.callers_address,
         clock,
         front.answer,
         socket=sockets[settings.callers_address],
-        budget=budgets.Budget.of_node(settings.memory_mb * budgets.MB),
+        budget=budget,
         listening_since=listening_since,
+        crowd=crowds.Crowd(limits),
     )
     await server.listen()
-    await load_modules()
+    await load_modules(MODULES)
+    if settings.usage is not None:
+        await load_modules(USAGE_MODULES)
     nodes = importlib.import_module(MODULES[-1])
     node = nodes.Node.from_config(settings, server, sockets)
     front.successor.set_result(node.front.answer)
@@ -223,9 +243,9 @@
     await node.run()
 
 
-async def load_modules() -> None:
-    """Load the modules of a node; read and reply between them."""
-    for name in MODULES:
+async def load_modules(names: abc.Iterable[str]) -> None:
+    """Load modules; read and reply between them."""
+    for name in names:
         importlib.import_module(name)
         for _ in range(ROUNDS):
             await asyncio.sleep(0)
