--- a/pomelobend/admission/team_order.py
+++ b/pomelobend/admission/team_order.py
@@ -45,7 +45,7 @@
 ADVANCE_SHARE = 0.7
 """Factor of the virtual time. The teams that compete are more than those that
 wait at one moment, so that the time would advance too fast with 1: a flooding
-team would take 4 percent of the calls of others at 6 slots. With 0.3, teams
+team would take 5 percent of the calls of others at 6 slots. With 0.3, teams
 within their share lose 2 percent without any flood (``docs/design/teams.md``).
 """
 
