Rename http/crowds.py to http/connection_limits.py, its class to ConnectionLimiter

A server's attribute is limiter, and a connection that is dropped for others is evicted. No behaviour changes; the feature file is renamed along.

--- a/pomelobend/http/connection.py
+++ b/pomelobend/http/connection.py
@@ -128,13 +128,13 @@
         self.server.connections.add(self)
         self.is_counted = True
         self.server.budget.connections += 1
-        if not self.server.crowd.add(self, self.server.connections):
+        if not self.server.limiter.add(self, self.server.connections):
             self._refuse_connection()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as nobody will read its reply."""
         self.server.connections.discard(self)
-        self.server.crowd.remove(self)
+        self.server.limiter.remove(self)
         self.server.budget.connections -= 1
         self._note_unanswered(exc)
         self._drop_input()
@@ -282,7 +282,7 @@
             return self.incoming.began_at
         return self.last_activity_at
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """End the connection at once, as others need its descriptor."""
         stage = self.stage.name.lower()
         self.server.counters.add('connections_dropped', stage)
@@ -302,7 +302,7 @@
 
     def _end_at_once(self) -> None:
         self.is_closing = True
-        self.server.crowd.remove(self)
+        self.server.limiter.remove(self)
         self._drop_input()
         self._drop_incoming()
         self.transport.close()
--- a/pomelobend/http/crowds.py
+++ b/pomelobend/http/connection_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the connections of a server, and which of them give way.
+"""Limits on the connections of a server, and which of them are dropped first.
 
 Each connection takes a descriptor and memory. The limits leave descriptors for
 what the node itself opens: connections to its target, the store and other
@@ -88,8 +88,8 @@
 
 
 @attrs.define(eq=False)
-class Crowd:
-    """The connections of a server, within its limits.
+class ConnectionLimiter:
+    """Counts the connections of a server and enforces its limits.
 
     Parameters
     ----------
@@ -157,7 +157,7 @@
             if sockets.has_input(other.transport):
                 continue
             left -= 1
-            other.give_way()
+            other.evict()
         logger.warning(
             'http: too many connections',
             address=connection.server.address,
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -18,7 +18,7 @@
 
 from pomelobend import clock as clocks
 from pomelobend import errors
-from pomelobend.http import crowds
+from pomelobend.http import connection_limits
 from pomelobend.http import message
 from pomelobend.http import server as servers
 from pomelobend.memory import budget as budgets
@@ -217,8 +217,8 @@
     clock = clocks.SystemClock()
     front = StartingFront(clock, asyncio.get_running_loop().create_future())
     budget = budgets.Budget.of_node(settings.memory_mb * budgets.MB)
-    limits = crowds.Limits.of_callers(
-        crowds.descriptor_limit(), budget.max_bytes
+    limits = connection_limits.Limits.of_callers(
+        connection_limits.descriptor_limit(), budget.max_bytes
     )
     server = servers.Server(
         settings.callers_address,
@@ -227,7 +227,7 @@
         socket=sockets[settings.callers_address],
         budget=budget,
         listening_since=listening_since,
-        crowd=crowds.Crowd(limits),
+        limiter=connection_limits.ConnectionLimiter(limits),
     )
     await server.listen()
     await load_modules(MODULES)
--- a/tests/http/test_http_crowds.feature
+++ b/tests/http/test_http_connection_limits.feature
@@ -24,7 +24,7 @@
     When connections of several addresses come, change and go at random
     Then no limit is exceeded, and only those that do nothing were dropped
 
-  # Guards against a crowd that keeps others out.
+  # Guards against connections without requests that keep others out.
   Scenario Outline: <what> connections make room for a request, <loop>
     Given an HTTP server for 16 connections, 14 of one address
     When 14 clients connect: <what>
--- a/tests/steps/test_http_crowds.py
+++ b/tests/steps/test_http_connection_limits.py
@@ -12,7 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from pomelobend.http import crowds
+from pomelobend.http import connection_limits
 from pomelobend.memory import budget as budgets
 from pomelobend.memory import eviction
 from tests.steps import test_http_memory as memory_steps
@@ -21,7 +21,7 @@
 MB = 1024 * 1024
 KB = 1024
 ADDRESSES = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
-MODEL_LIMITS = crowds.Limits(8, 6)
+MODEL_LIMITS = connection_limits.Limits(8, 6)
 END_S = 3.0
 SETTLE_S = 0.1
 FIRST_S = 0.1
@@ -57,7 +57,7 @@
 class Connection:
     """A connection without a network."""
 
-    crowd: crowds.Crowd
+    limiter: connection_limits.ConnectionLimiter
     others: set
     address: str
     stage: eviction.Stage | None = eviction.Stage.INCOMPLETE
@@ -72,12 +72,12 @@
         """Connect; return whether there was room."""
         self.others.add(self)
         self.is_counted = True
-        has_room = self.crowd.add(self, self.others)
+        has_room = self.limiter.add(self, self.others)
         if not has_room:
             self.end()
         return has_room
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Note that it was dropped, and whether that was allowed."""
         self.is_dropped = True
         self.had_stage = self.stage is not None
@@ -85,7 +85,7 @@
 
     def end(self) -> None:
         """Leave the server."""
-        self.crowd.remove(self)
+        self.limiter.remove(self)
         self.others.discard(self)
 
 
@@ -93,15 +93,19 @@
     'a process with {descriptors:d} descriptors and a budget of {size:d} MB'
 )
 def given_process(context: typing.Any, descriptors: int, size: int) -> None:
-    context.callers = crowds.Limits.of_callers(descriptors, size * MB)
-    context.messages = crowds.Limits.of_messages(descriptors)
+    context.callers = connection_limits.Limits.of_callers(
+        descriptors, size * MB
+    )
+    context.messages = connection_limits.Limits.of_messages(descriptors)
 
 
 @behave.then(
     'callers may have {total:d} connections, and one address {address:d}'
 )
 def then_limits(context: typing.Any, total: int, address: int) -> None:
-    assert context.callers == crowds.Limits(total, address), context.callers
+    assert context.callers == connection_limits.Limits(total, address), (
+        context.callers
+    )
 
 
 @behave.then('each port for messages may have {total:d} connections')
@@ -111,14 +115,17 @@
 
 @behave.when('{count:d} callers of one address connect, and connect anew')
 def when_callers(context: typing.Any, count: int) -> None:
-    crowd, others = crowds.Crowd(context.callers), set()
+    limiter, others = (
+        connection_limits.ConnectionLimiter(context.callers),
+        set(),
+    )
     context.opened = []
     context.has_room = []
     for _ in range(2):
         for number in range(count):
             if len(context.opened) >= count:
                 context.opened[number - count].end()
-            connection = Connection(crowd, others, ADDRESSES[0])
+            connection = Connection(limiter, others, ADDRESSES[0])
             context.has_room.append(connection.open())
             context.opened.append(connection)
 
@@ -134,7 +141,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.crowd = crowds.Crowd(MODEL_LIMITS)
+        self.limiter = connection_limits.ConnectionLimiter(MODEL_LIMITS)
         self.others: set[Connection] = set()
         self.opened: list[Connection] = []
 
@@ -151,7 +158,7 @@
             and (item.address == address or not self._is_full(address))
         ]
         connection = Connection(
-            self.crowd, self.others, address, stage_since=since
+            self.limiter, self.others, address, stage_since=since
         )
         if connection.open():
             self.opened.append(connection)
@@ -184,7 +191,7 @@
     @stateful.invariant()
     def limits_hold(self) -> None:
         """Check the limits, the counts and what was dropped."""
-        counts = self.crowd.by_address
+        counts = self.limiter.by_address
         assert counts.total() == len(self.others) <= MODEL_LIMITS.total
         assert all(counts.values()), counts
         assert all(n <= MODEL_LIMITS.per_address for n in counts.values())
@@ -216,8 +223,8 @@
 )
 def given_server(context: typing.Any, total: int, address: int) -> None:
     memory_steps.given_server(context, 16)
-    limits = crowds.Limits(total, address)
-    context.server.crowd = crowds.Crowd(limits)
+    limits = connection_limits.Limits(total, address)
+    context.server.limiter = connection_limits.ConnectionLimiter(limits)
     context.clients = []
 
 
