Usage reports: a record that the store lost with an era is not reused

After the store returned from an older copy, a holder read its own older record and reported windows again, maybe with other counts, and a contender used a token that had been used. A node now remembers the highest token and the latest window that it has written or heard of, continues after both, and only the holder of the lost record writes at once. The announcement of a holder carries its token and the era.

A stateful test with restored copies fails without this memory.

--- a/pomelobend/usage/contention.py
+++ b/pomelobend/usage/contention.py
@@ -36,6 +36,8 @@
     ----------
     revision, recorded, accepted : int
         As in ``messages.UsageLease``, of the newest revision.
+    token : int
+        The highest token that a holder has announced.
     is_able : bool
     heard_at : float
         Monotonic time of the latest message.
@@ -46,6 +48,7 @@
     revision: int = 0
     recorded: int = 0
     accepted: int = 0
+    token: int = 0
     is_able: bool = True
     heard_at: float = float('-inf')
     revision_at: float = float('-inf')
@@ -57,11 +60,19 @@
         if message.revision > self.revision:
             self.revision, self.revision_at = message.revision, now
             self.accepted = 0
-        self.recorded = message.recorded
+        self.recorded = max(self.recorded, message.recorded)
+        self.token = max(self.token, message.token)
         self.accepted = max(self.accepted, message.accepted)
         self.is_able = message.is_able
         self.heard_at = now
 
+    def begin_era(self) -> None:
+        """Forget the revision, as the store gives revisions out again.
+
+        What has been reported remains so.
+        """
+        self.revision = 0
+
 
 @attrs.frozen
 class Plan:
--- a/pomelobend/usage/duty.py
+++ b/pomelobend/usage/duty.py
@@ -131,6 +131,28 @@
     since: Reading
 
 
+@attrs.frozen
+class Lost:
+    """What is known of records that the store lost with an era.
+
+    Parameters
+    ----------
+    token : int
+        The highest token that may have been used.
+    recorded : int
+        The latest window of which a report may have been sent.
+    is_own : bool
+        Whether this process was the holder.
+    pending : tuple of Report
+        Reports of its record that were not known to be accepted.
+    """
+
+    token: int
+    recorded: int
+    is_own: bool
+    pending: tuple[Report, ...] = ()
+
+
 @attrs.define(eq=False)
 class Duty:
     """The part of one process in the duty to report.
@@ -151,6 +173,8 @@
         The write under way, and when it was begun.
     accepted : set of int
         Windows of the record whose reports have been accepted.
+    lost : Lost or None
+        What a newer era of the store lacks until this process has written.
     """
 
     holder: str
@@ -161,6 +185,16 @@
     leased_from: Reading | None = None
     writing: tuple[Record, Reading] | None = None
     accepted: set[int] = attrs.field(factory=set)
+    lost: Lost | None = None
+
+    @property
+    def recorded(self) -> int | None:
+        """Return the latest window of which a report may have been sent.
+
+        It is None if no record is known.
+        """
+        known = [part.recorded for part in (self.record, self.lost) if part]
+        return max(known, default=None)
 
     @property
     def record(self) -> Record | None:
@@ -181,6 +215,41 @@
         if self.heard is None or revision > self.heard[0]:
             self.heard = (revision, now)
 
+    def begin_era(self, token: int, recorded: int) -> None:
+        """Note that the store has returned from an older copy.
+
+        The newest record may be lost, though its reports were sent. Its
+        windows are never reported with other counts, and its token is never
+        used again: the next record continues after both.
+
+        Parameters
+        ----------
+        token, recorded : int
+            Highest token and latest window that holders have announced.
+        """
+        known = [part for part in (self.record, self.lost) if part]
+        if self.writing is not None:
+            known.append(self.writing[0])
+        is_own = self.is_holder or (self.lost is not None and self.lost.is_own)
+        self.lost = Lost(
+            max(token, *(part.token for part in known), 0),
+            max(recorded, *(part.recorded for part in known), 0),
+            is_own,
+            self._known_pending() if is_own else (),
+        )
+        self.heard = None
+        self.note_write_lost()
+
+    def _known_pending(self) -> tuple[Report, ...]:
+        """Return the reports of this process that may not be accepted."""
+        known = {report.window: report for report in self.unsent()}
+        if self.lost is not None:
+            known |= {report.window: report for report in self.lost.pending}
+        if self.writing is not None:
+            record = self.writing[0]
+            known |= {report.window: report for report in record.pending}
+        return tuple(known[window] for window in sorted(known))
+
     def note_read(
         self, revision: int | None, record: Record | None, now: Reading
     ) -> None:
@@ -200,6 +269,9 @@
         if self.heard is not None and self.heard[0] == revision:
             since = self.heard[1]
         self.seen = Seen(revision, record, since)
+        if self.lost is not None and record is not None:
+            is_continued = record.token > self.lost.token
+            self.lost = None if is_continued else self.lost
         self.leased_from = None
         self.accepted.clear()
 
@@ -207,7 +279,11 @@
         """Return whether this process may renew or take over the lease."""
         if self.seen is None or self.writing is not None:
             return False
-        if self.seen.record is None or self.is_holder:
+        if self.lost is not None:
+            is_free = self.lost.is_own
+        else:
+            is_free = self.seen.record is None or self.is_holder
+        if is_free:
             return True
         waited_s = now.least_since(self.seen.since)
         return waited_s >= self.lease_s + TAKEOVER_MARGIN_S
@@ -236,12 +312,17 @@
         token = before.token if before is not None else 0
         sequence = before.sequence if before is not None else 0
         kept = before.pending if before is not None else ()
+        is_renewal = self.is_holder and self.lost is None
+        if self.lost is not None:
+            token = max(token, self.lost.token)
+            recorded = max(recorded, self.lost.recorded)
+            kept = _with_lost(kept, self.lost)
         if domains is None:
             domains = before.domains if before is not None else 0
         record = Record(
             self.holder,
             self.incarnation,
-            token if self.is_holder else token + 1,
+            token if is_renewal else token + 1,
             sequence + 1,
             recorded,
             domains,
@@ -251,9 +332,15 @@
         return record
 
     def note_written(self, revision: int) -> None:
-        """Note that the write under way has succeeded."""
+        """Note that the write under way has succeeded.
+
+        It does not count if a newer era has begun meanwhile.
+        """
+        if self.writing is None:
+            self.note_write_lost()
+            return
         record, begun = self.writing
-        self.writing = None
+        self.writing = self.lost = None
         self.seen = Seen(revision, record, begun)
         self.leased_from = begun
         self.accepted &= {report.window for report in record.pending}
@@ -292,6 +379,12 @@
         self.accepted.add(window)
 
 
+def _with_lost(kept: tuple[Report, ...], lost: Lost) -> tuple[Report, ...]:
+    """Return the reports of an older record with those of the lost one."""
+    by_window = {report.window: report for report in kept + lost.pending}
+    return tuple(by_window[window] for window in sorted(by_window))
+
+
 def _counts(value: dict) -> count_module.Counts:
     counts = {str(team): int(count) for team, count in value.items()}
     if any(count < 0 for count in counts.values()):
--- a/pomelobend/usage/reporter.py
+++ b/pomelobend/usage/reporter.py
@@ -206,10 +206,27 @@
         }
 
     def handle_lease(self, message: messages.UsageLease) -> None:
-        """Note what the holder tells."""
+        """Note what the holder tells, unless it is of an older era."""
+        if message.era < self.store.eras.number:
+            return
+        self.store.eras.observe(message.era, 'usage lease')
         self.holder_status.note(message, self.clock.monotonic())
         self.duty.note_heard(message.revision, self.read())
 
+    def begin_era(self, era: int) -> None:
+        """Note that the store has returned from an older copy."""
+        status = self.holder_status
+        self.duty.begin_era(status.token, status.recorded)
+        status.begin_era()
+        self.is_lost = self.duty.lost.is_own
+        if self.is_lost:
+            logger.warning(
+                'usage: record lost with an era',
+                era=era,
+                token=self.duty.lost.token,
+                recorded=self.duty.lost.recorded,
+            )
+
     async def run(self) -> None:
         """Exchange counts, until cancelled."""
         while True:
@@ -225,11 +242,16 @@
                 continue
             if self.is_lost:
                 await self._resolve_lost_write()
-            elif self.duty.is_holder:
+            elif self.duty.is_holder or self._must_restore:
                 await self._report_as_holder()
             elif self.role.is_relay:
                 await self._take_over_if_due()
 
+    @property
+    def _must_restore(self) -> bool:
+        """Return whether the record of this node was lost with an era."""
+        return self.duty.lost is not None and self.duty.lost.is_own
+
     async def _report_as_holder(self) -> None:
         """Record and send what is due."""
         now = self.clock.monotonic()
@@ -237,7 +259,7 @@
             return
         reports, missing = self._ready()
         is_retried = bool(self.duty.unsent()) and now >= self.retry_at
-        if not reports and not is_retried:
+        if not (reports or is_retried or self._must_restore):
             self._announce_if_late(now)
             return
         is_certain = self.duty.left_s(self.read()) > RENEW_S
@@ -367,8 +389,9 @@
         return True
 
     def _begin_write(self, reports: list[duties.Report]) -> duties.Record:
-        record = self.duty.record
-        recorded = record.recorded if record else self.exchange.first - 1
+        recorded = self.duty.recorded
+        if recorded is None:
+            recorded = self.exchange.first - 1
         if recorded + 1 < self.exchange.sums.oldest:
             logger.warning(
                 'usage: windows skipped, their counts are lost',
@@ -496,8 +519,8 @@
 
     def _ready(self) -> tuple[list[duties.Report], dict[int, set[str]]]:
         """Return the reports that may be recorded, and what they lack."""
-        record = self.duty.record
-        first = record.recorded + 1 if record else self.exchange.first
+        recorded = self.duty.recorded
+        first = self.exchange.first if recorded is None else recorded + 1
         first = max(first, self.exchange.sums.oldest)
         unsent = self.duty.unsent()
         size = sum(len(report.counts) for report in unsent)
@@ -563,9 +586,11 @@
         accepted = min(unsent, default=seen.record.recorded + 1) - 1
         message = messages.UsageLease(
             self.duty.incarnation,
+            self.store.eras.number,
             seen.revision,
             max(seen.record.recorded, 0),
             max(accepted, 0),
+            seen.record.token,
             self.announced_at >= self.yields_until,
         )
         self.holder_status.note(message, self.announced_at)
--- a/tests/steps/test_usage_duty.py
+++ b/tests/steps/test_usage_duty.py
@@ -66,6 +66,9 @@
     revision: int | None = None
     record: duties.Record | None = None
     late: list[Write] = attrs.field(factory=list)
+    history: list[tuple[int | None, duties.Record | None]] = attrs.field(
+        factory=lambda: [(None, None)]
+    )
     numbers: typing.Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
@@ -75,8 +78,16 @@
         if self.is_fenced and write.revision != self.revision:
             return None
         self.record, self.revision = write.record, next(self.numbers)
+        self.history.append((self.revision, self.record))
         return self.revision
 
+    def restore(self, back: int) -> None:
+        """Return to an older copy; later revisions are given out again."""
+        del self.history[max(1, len(self.history) - back) :]
+        self.revision, self.record = self.history[-1]
+        self.numbers = itertools.count((self.revision or 0) + 1)
+        self.late.clear()
+
 
 @attrs.frozen
 class Sent:
@@ -101,6 +112,7 @@
         self.store = Store(self.is_fenced)
         self.sent: list[Sent] = []
         self.serial = itertools.count(1)
+        self.announced = (0, 0)
         # The VMs share their name: only the incarnation tells them apart.
         self.vms = [
             Vm(
@@ -196,7 +208,7 @@
         duty = vm.duty
         if vm.is_suspended or not duty.may_write(self.clocks(vm)):
             return
-        window = duty.record.recorded + 1 if duty.record else 1
+        window = (duty.recorded or 0) + 1
         # Each process has counted something else.
         report = duties.Report(window, {'pulo780': next(self.serial)})
         write = Write(
@@ -212,6 +224,7 @@
             duty.note_write_lost()
         else:
             duty.note_written(revision)
+            self.announced = (duty.record.token, duty.record.recorded)
 
     @stateful.precondition(lambda self: self.store.late)
     @stateful.rule(number=strategies.integers(0, 99))
@@ -275,6 +288,44 @@
     is_fenced = False
 
 
+class Restored(Courses):
+    """The same with a store that returns from an older copy at times."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.uninformed: set[int] = set()
+
+    @stateful.rule(back=strategies.integers(1, 3))
+    def restore(self, back: int) -> None:
+        """Restore an older copy; suspended VMs hear of it once resumed."""
+        self.store.restore(back)
+        for index, vm in enumerate(self.vms):
+            if vm.is_suspended:
+                self.uninformed.add(index)
+            else:
+                self.begin_era(vm.duty)
+
+    @stateful.rule(index=INDEX)
+    def suspend_or_resume(self, index: int) -> None:
+        """Suspend a VM, or resume it."""
+        super().suspend_or_resume(index)
+        if not self.vms[index].is_suspended and index in self.uninformed:
+            self.uninformed.remove(index)
+            self.begin_era(self.vms[index].duty)
+
+    def begin_era(self, duty: duties.Duty) -> None:
+        """Tell a process of the new era."""
+        duty.begin_era(*self.announced)
+
+
+class Forgetful(Restored):
+    """The same with processes that take the older record for the newest."""
+
+    def begin_era(self, duty: duties.Duty) -> None:
+        """Forget the lost record."""
+        duty.note_write_lost()
+
+
 class Unsuspended(Courses):
     """The same with leases that are measured by the steady clock alone."""
 
@@ -309,6 +360,16 @@
     context.machine = Unfenced
 
 
+@behave.given('a store that returns from older copies')
+def given_restored(context: typing.Any) -> None:
+    context.machine = Restored
+
+
+@behave.given('processes that forget the records that were lost')
+def given_forgetful(context: typing.Any) -> None:
+    context.machine = Forgetful
+
+
 @behave.given('processes that measure their lease by the steady clock alone')
 def given_unsuspended(context: typing.Any) -> None:
     context.machine = Unsuspended
--- a/tests/usage/test_usage_duty.feature
+++ b/tests/usage/test_usage_duty.feature
@@ -20,6 +20,21 @@
     And processes that measure their lease by the steady clock alone
     Then a course of events breaks a rule of the reports
 
+  # Guards against a second, different report of a window, and a token used
+  # again, after the store has lost the record of both.
+  Scenario: no course of events with older copies of the store breaks a rule
+    Given three processes that contend for the duty
+    And a store that returns from older copies
+    Then no course of events breaks a rule of the reports
+
+  # Shows that the check above finds the fault of a process that does not know
+  # what it has lost.
+  Scenario: without the memory of lost records a rule is broken
+    Given three processes that contend for the duty
+    And a store that returns from older copies
+    And processes that forget the records that were lost
+    Then a course of events breaks a rule of the reports
+
   Scenario Outline: a malformed record is refused, <record>
     Then the record <record> is refused
 
