Labels of teams are valid on the metrics page; stand-in table has teams

The metrics page does not quote labels, so the name of a team with a quote would have made it invalid: such characters are replaced. The route table of tests/steps/test_http_memory.py lacked the new attribute, by which three of its scenarios failed.

--- a/pomelobend/teams/access.py
+++ b/pomelobend/teams/access.py
@@ -27,6 +27,9 @@
 OTHER = 'other'
 """Label of the teams beyond these."""
 
+_UNQUOTED = str.maketrans('"\\', '__')
+"""Replaces what would end a label, which the metrics page does not quote."""
+
 TEAM_COUNTER = 'team_calls'
 
 
@@ -108,15 +111,15 @@
         if label is None:
             label = OTHER
             if len(self.labels) < MAX_LABELS:
-                label = self.labels[team] = team
+                label = self.labels[team] = team.translate(_UNQUOTED)
         self.counters.add(TEAM_COUNTER, f'{label}/{outcome}')
 
     def forget_removed_teams(self, table: tables.RouteTable) -> None:
         """Drop the counts of teams that are not in a configuration."""
         names = table.teams.names if table.teams is not None else frozenset()
-        removed = self.labels.keys() - names
-        for name in removed:
-            del self.labels[name]
+        removed = {
+            self.labels.pop(name) for name in self.labels.keys() - names
+        }
         self.counters.discard(
             TEAM_COUNTER, lambda label: label.rpartition('/')[0] in removed
         )
--- a/tests/steps/test_http_memory.py
+++ b/tests/steps/test_http_memory.py
@@ -106,6 +106,7 @@
     """A route table that finds the same route for all requests."""
 
     route: tables.Route
+    teams: typing.Any = None
 
     def find(self, host: str, target: bytes) -> tables.Route:
         """Return the route of a request."""
--- a/tests/steps/test_teams_directory.py
+++ b/tests/steps/test_teams_directory.py
@@ -160,6 +160,10 @@
     teams = _directory({'team-1': {'a'}, 'team-200': {'b'}})
     context.access.forget_removed_teams(_table(teams))
     context.access.count('team-200', 'refused')
+    context.access.count('a"b\\c', 'refused')
+    page, _ = exposition.Exposition(context.counters).render('text/plain')
+    assert b'reason="a_b_c/refused"' in page, page
+    context.access.forget_removed_teams(_table(teams))
     names = {name for _, name in context.counters.counts}
     kept = {'team-1/answered', 'team-200/refused', 'other/answered'}
     assert names == kept, names
