--- a/pomelobend/usage/contention.py
+++ b/pomelobend/usage/contention.py
@@ -29,13 +29,15 @@
 
 
 @attrs.define
-class News:
-    """What the holder has told, and when.
+class HolderStatus:
+    """What the holder has announced, and when.
 
     Parameters
     ----------
     revision, recorded, accepted : int
         As in ``messages.UsageLease``, of the newest revision.
+    token : int
+        The highest token that a holder has announced.
     is_able : bool
     heard_at : float
         Monotonic time of the latest message.
@@ -46,6 +48,7 @@
     revision: int = 0
     recorded: int = 0
     accepted: int = 0
+    token: int = 0
     is_able: bool = True
     heard_at: float = float('-inf')
     revision_at: float = float('-inf')
@@ -57,11 +60,19 @@
         if message.revision > self.revision:
             self.revision, self.revision_at = message.revision, now
             self.accepted = 0
-        self.recorded = message.recorded
+        self.recorded = max(self.recorded, message.recorded)
+        self.token = max(self.token, message.token)
         self.accepted = max(self.accepted, message.accepted)
         self.is_able = message.is_able
         self.heard_at = now
 
+    def begin_era(self) -> None:
+        """Forget the revision, as the store gives revisions out again.
+
+        What has been reported remains so.
+        """
+        self.revision = 0
+
 
 @attrs.frozen
 class Plan:
@@ -80,7 +91,7 @@
         Time after the end of a window after which a holder reports it in any
         case.
     lease_s : float
-    news : News
+    holder_status : HolderStatus
     is_first : bool
         Whether no record is known at all.
     knows_more : bool
@@ -97,7 +108,7 @@
     is_incomplete: bool
     incomplete_s: float
     lease_s: float
-    news: News
+    holder_status: HolderStatus
     is_first: bool
     knows_more: bool
     yields_until: float
@@ -117,27 +128,29 @@
         rank_s = self.rank * RANK_S
         if self.is_first:
             return since_end_s >= rank_s
-        silent_s = now - self.news.heard_at
-        if not self.news.is_able:
-            return now - self.news.revision_at >= self.lease_s + rank_s
+        silent_s = now - self.holder_status.heard_at
+        if not self.holder_status.is_able:
+            return (
+                now - self.holder_status.revision_at >= self.lease_s + rank_s
+            )
         if silent_s < ALIVE_S:
             return False
         if self.knows_more and silent_s >= (
             self.lease_s + self.windows.length_s + rank_s
         ):
             return True
-        if self._is_left(now):
+        if self._is_delivery_abandoned(now):
             return silent_s >= self.lease_s + rank_s
         allowed_s = OVERDUE_S
         if self.is_incomplete:
             allowed_s = self.incomplete_s + INCOMPLETE_MARGIN_S
         return since_end_s >= allowed_s + rank_s
 
-    def _is_left(self, now: float) -> bool:
+    def _is_delivery_abandoned(self, now: float) -> bool:
         """Return whether the holder has not reported what it has recorded."""
-        news = self.news
+        status = self.holder_status
         return (
-            news.recorded == self.recorded
-            and news.accepted < news.recorded
-            and now - news.revision_at >= self.lease_s
+            status.recorded == self.recorded
+            and status.accepted < status.recorded
+            and now - status.revision_at >= self.lease_s
         )
