--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import sys
 import typing
 
 import attrs
@@ -196,6 +197,13 @@
             if queued is not newcomer and queued not in late_before
         )
 
+    @property
+    def reserved(self) -> int:
+        """Return the slots that the least urgent calls may not use now."""
+        now = self.clock.monotonic()
+        slots = self.registration.slots
+        return self.reserve.size(sys.maxsize, math.inf, slots, now)
+
     def _may_start(self, priority: int, run_s: float, now: float) -> bool:
         """Return whether a call may start if none precedes it."""
         return (
