--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -87,7 +87,8 @@
 
         They start before less urgent ones, however many of these wait.
         """
-        order = (NESTED_PRIORITY if is_nested else priority, math.inf)
+        rank = NESTED_PRIORITY if is_nested else priority
+        order = (not is_nested, rank, math.inf, math.inf)
         overtaken = self.queue.size - len(self.queue.before(order))
         free = self.free
         if overtaken and not free:
@@ -111,7 +112,7 @@
         if not self.registration.slots:
             return 0.0
         schedule = self._slot_schedule(now)
-        excess = self._reserve_excess(order[0], run_s, now)
+        excess = self._reserve_excess(order[1], run_s, now)
         del schedule.free_at[: min(excess, len(schedule.free_at) - 1)]
         for queued in self.queue.before(order):
             schedule.book(queued.run_s)
@@ -139,6 +140,7 @@
         run_s = self._expected_run_s(call, now)
         if not call.is_nested:
             self.shares.note_offered(call.priority, now)
+        self.queue.teams.note_offered(call, now)
         self._note_arrival(call, run_s, now)
         priority = self._queue_priority(call)
         if self._may_start(priority, run_s, now) and not self.queue.size:
@@ -147,6 +149,7 @@
         self._note_wait(call, now)
         ready = asyncio.get_running_loop().create_future()
         queued = waiting.QueuedCall(call, ready, run_s, now, priority)
+        self.queue.place(queued)
         wait_s = self.wait_s(queued.order, run_s)
         left_s = TIMELY_SHARE * (call.due - now)
         if wait_s + run_s > left_s:
@@ -179,7 +182,7 @@
     def _makes_others_late(
         self, newcomer: waiting.QueuedCall, now: float
     ) -> bool:
-        """Return whether calls as urgent would be late because of a new one.
+        """Return whether calls that go first would be late by a new one.
 
         They were queued because they could meet their objectives. If later
         calls with short objectives took their places, calls with longer ones
@@ -192,7 +195,7 @@
             self._slot_schedule(now), self.queue.waiting_calls_with(newcomer)
         )
         return any(
-            queued.priority <= newcomer.priority
+            not queued.yields_to(newcomer)
             for queued in late_after
             if queued is not newcomer and queued not in late_before
         )
@@ -254,6 +257,7 @@
         self.cold.note_admitted(now)
         if not call.is_nested:
             self.shares.note_served(call.priority)
+        self.queue.teams.note_served(call)
 
     def _expected_run_s(self, call: call_module.Call, now: float) -> float:
         """Return the expected run time of a call, in s."""
--- a/pomelobend/http/connection.py
+++ b/pomelobend/http/connection.py
@@ -19,6 +19,7 @@
 from pomelobend.http import replying
 from pomelobend.http import unsent as unsent_module
 from pomelobend.memory import budget as budgets
+from pomelobend.memory import eviction
 from pomelobend import sockets
 from pomelobend import turns as turn_module
 
@@ -55,6 +56,10 @@
             server.turns, self._parse, self._update_reading
         )
         self.parts = 0
+        self.pieces: list[bytes] = []
+        self.group = budgets.Group()
+        self.address = ''
+        self.is_counted = False
         self.incoming: incoming_module.Incoming | None = None
         self.queue: collections.deque = collections.deque()
         self.task: asyncio.Task | None = None
@@ -82,10 +87,15 @@
         return (
             self.task is None
             and not self.queue
-            and self.incoming is None
+            and not self.is_receiving
             and not self.intake.is_waiting
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request comes that is not answered yet."""
+        return self.incoming is not None and not self.incoming.is_answered
+
     @property
     def is_new(self) -> bool:
         """Return whether the first request may be on its way."""
@@ -113,11 +123,19 @@
         """Store the transport and register the connection."""
         self.transport = transport
         transport.set_write_buffer_limits(high=0)
+        name = transport.get_extra_info('peername')
+        self.address = str(name[0]) if name else ''
         self.server.connections.add(self)
+        self.is_counted = True
+        self.server.budget.connections += 1
+        if not self.server.crowd.add(self, self.server.connections):
+            self._refuse_connection()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as nobody will read its reply."""
         self.server.connections.discard(self)
+        self.server.crowd.remove(self)
+        self.server.budget.connections -= 1
         self._note_unanswered(exc)
         self._drop_input()
         self._drop_incoming()
@@ -152,7 +170,7 @@
         """Return how far its request or reply is, or None without one."""
         if self.task is not None or self.queue:
             return Phase.PROCESSING
-        if self.incoming is not None:
+        if self.is_receiving:
             return Phase.RECEIVING
         if self.transport.get_write_buffer_size():
             return Phase.REPLYING
@@ -217,12 +235,7 @@
         last_at = max(incoming.byte_at, self.last_activity_at)
         if now - last_at > self.bounds.body_pause_s:
             return 'no byte of a body came in time'
-        head = message.Request(
-            self.parser.get_method().decode('ascii'),
-            incoming.target,
-            incoming.headers,
-        )
-        if now - incoming.began_at > self.server.limit_s(head):
+        if now - incoming.began_at > self.server.limit_s(self._head()):
             return 'a body was not received in the time of its call'
         return ''
 
@@ -246,6 +259,54 @@
         if not self.has_waiting_input:
             self.close()
 
+    @property
+    def stage(self) -> eviction.Stage | None:
+        """Return how far the connection is, None if it is not dropped.
+
+        It is not while a request is processed or a reply is written.
+        """
+        if self.phase not in (None, Phase.RECEIVING):
+            return None
+        if self.linger is not None:
+            return eviction.Stage.ENDED
+        if self.is_closing:
+            return None
+        if self.is_used and self.is_idle:
+            return eviction.Stage.IDLE
+        return eviction.Stage.INCOMPLETE
+
+    @property
+    def stage_since(self) -> float:
+        """Return from when on it has been in its stage."""
+        if self.incoming is not None:
+            return self.incoming.began_at
+        return self.last_activity_at
+
+    def give_way(self) -> None:
+        """End the connection at once, as others need its descriptor."""
+        stage = self.stage.name.lower()
+        self.server.counters.add('connections_dropped', stage)
+        if self.incoming is not None:
+            self._write_last(408)
+        self._end_at_once()
+
+    def _refuse_connection(self) -> None:
+        """Refuse a new connection; no request on it has been read."""
+        self.server.counters.add('connections_dropped', 'new')
+        self._write_last(429)
+        self._end_at_once()
+
+    def _write_last(self, status: int) -> None:
+        reply = replying.refusal(status)
+        self.transport.write(message.encode(reply, is_keep_alive=False))
+
+    def _end_at_once(self) -> None:
+        self.is_closing = True
+        self.server.crowd.remove(self)
+        self._drop_input()
+        self._drop_incoming()
+        self.transport.close()
+
     def close(self) -> None:
         """Close the connection, on which no reply is due."""
         self.is_closing = True
@@ -255,6 +316,8 @@
         """Close the connection once the client has its last reply."""
         self.is_closing = True
         self._drop_input()
+        if self.incoming is not None and self.incoming.is_answered:
+            self._drop_incoming()
         if self.half_close is not None:
             self.transport.close()
             return
@@ -266,8 +329,10 @@
 
         If an earlier request is still being processed, the connection closes
         after its reply instead. A request for which there is no memory is
-        answered after the earlier ones.
+        answered after the earlier ones. One that was answered by its head
+        gets no second reply.
         """
+        is_answered = self.incoming is not None and self.incoming.is_answered
         self._drop_input()
         self._drop_incoming()
         if self.is_closing or self.refused is not None:
@@ -277,7 +342,10 @@
             status=error.status,
             why=str(error),
         )
-        if self.task is None:
+        if is_answered:
+            if self.task is None:
+                self.close_after_reply()
+        elif self.task is None:
             reply = replying.refusal(error.status)
             self.transport.write(message.encode(reply, is_keep_alive=False))
             self.close_after_reply()
