--- a/tests/steps/test_admission_teams.py
+++ b/tests/steps/test_admission_teams.py
@@ -263,7 +263,9 @@
     assert orders == sorted(orders)
     assert [entry[0] for entry in sorted(queue.heap)] == orders
     for queued in listed:
-        dues = [mate.call.due for mate in listed if queued.is_mate(mate)]
+        dues = [
+            known.call.due for known in listed if queued.is_same_team(known)
+        ]
         assert dues == sorted(dues)
 
 
