--- a/pomelobend/usage/contention.py
+++ b/pomelobend/usage/contention.py
@@ -29,8 +29,8 @@
 
 
 @attrs.define
-class News:
-    """What the holder has told, and when.
+class HolderStatus:
+    """What the holder has announced, and when.
 
     Parameters
     ----------
@@ -80,7 +80,7 @@
         Time after the end of a window after which a holder reports it in any
         case.
     lease_s : float
-    news : News
+    holder_status : HolderStatus
     is_first : bool
         Whether no record is known at all.
     knows_more : bool
@@ -97,7 +97,7 @@
     is_incomplete: bool
     incomplete_s: float
     lease_s: float
-    news: News
+    holder_status: HolderStatus
     is_first: bool
     knows_more: bool
     yields_until: float
@@ -117,27 +117,29 @@
         rank_s = self.rank * RANK_S
         if self.is_first:
             return since_end_s >= rank_s
-        silent_s = now - self.news.heard_at
-        if not self.news.is_able:
-            return now - self.news.revision_at >= self.lease_s + rank_s
+        silent_s = now - self.holder_status.heard_at
+        if not self.holder_status.is_able:
+            return (
+                now - self.holder_status.revision_at >= self.lease_s + rank_s
+            )
         if silent_s < ALIVE_S:
             return False
         if self.knows_more and silent_s >= (
             self.lease_s + self.windows.length_s + rank_s
         ):
             return True
-        if self._is_left(now):
+        if self._is_delivery_abandoned(now):
             return silent_s >= self.lease_s + rank_s
         allowed_s = OVERDUE_S
         if self.is_incomplete:
             allowed_s = self.incomplete_s + INCOMPLETE_MARGIN_S
         return since_end_s >= allowed_s + rank_s
 
-    def _is_left(self, now: float) -> bool:
+    def _is_delivery_abandoned(self, now: float) -> bool:
         """Return whether the holder has not reported what it has recorded."""
-        news = self.news
+        status = self.holder_status
         return (
-            news.recorded == self.recorded
-            and news.accepted < news.recorded
-            and now - news.revision_at >= self.lease_s
+            status.recorded == self.recorded
+            and status.accepted < status.recorded
+            and now - status.revision_at >= self.lease_s
         )
--- a/pomelobend/usage/reporter.py
+++ b/pomelobend/usage/reporter.py
@@ -41,7 +41,7 @@
 MIN_WAIT_S = 0.01
 """Least wait between two looks at the lease while reports are sent."""
 
-PATIENCE_S = (3.5, 10.0)
+RESPONSE_TIMEOUT_S = (3.5, 10.0)
 """Least and longest wait for the response to a report. The least one leaves
 time for another node to take over within the 10 s in which a report is due;
 it is doubled when it was reached, as the API may be slow for all nodes."""
@@ -67,8 +67,8 @@
 READ_INTERVAL_S = 2.0
 """Least time between two readings of the store."""
 
-TELL_INTERVAL_S = 1.0
-"""Interval at which a holder tells that it is at work on a late report."""
+ANNOUNCE_INTERVAL_S = 1.0
+"""Interval at which a holder announces that it is at work on a late report."""
 
 MAX_PENDING = 12
 MAX_PENDING_COUNTS = 20_000
@@ -101,28 +101,28 @@
     settings : platform_settings.UsageReporting
     is_required : callable
         Returns whether the configuration has teams.
-    news : contention.News
-        What the holder has told.
+    holder_status : contention.HolderStatus
+        What the holder has announced.
     is_lost : bool
         Whether a write of this process as the holder had an unknown outcome.
     failures : int
         Reports in a row for which the usage API could not be reached.
     back_off_s : float
-        The last pause; 0 after success.
+        The last pause in s; 0 after success.
     retry_at : float
         Monotonic time of the next attempt to send reports.
     yields_until : float
         Monotonic time until which this node writes nothing as the holder.
     declines_until : float
         Monotonic time until which it does not take over the duty.
-    patience_s : float
-        How long a response to a report is waited for.
+    response_timeout_s : float
+        Time in s for which the response to a report is waited for.
     store_back_off_s : float
-        The last pause after a failed call to the store; 0 after success.
+        The last pause in s after a failed call to the store; 0 after success.
     write_at, read_at : float
         Monotonic time of the next call to the store, and of the last reading.
-    told_at : float
-        Monotonic time at which the other nodes were last told of the duty.
+    announced_at : float
+        Monotonic time at which the duty was last announced to other nodes.
     send_at : float
         Monotonic time at which the last report was or will be sent.
     """
@@ -137,18 +137,20 @@
     clock: clocks.Clock
     is_required: abc.Callable[[], bool]
     read: abc.Callable[[], duties.Reading] = read_clocks
-    news: contention.News = attrs.field(factory=contention.News)
+    holder_status: contention.HolderStatus = attrs.field(
+        factory=contention.HolderStatus
+    )
     is_lost: bool = False
     failures: int = 0
     back_off_s: float = 0.0
     retry_at: float = float('-inf')
     yields_until: float = float('-inf')
     declines_until: float = float('-inf')
-    patience_s: float = PATIENCE_S[0]
+    response_timeout_s: float = RESPONSE_TIMEOUT_S[0]
     store_back_off_s: float = 0.0
     write_at: float = float('-inf')
     read_at: float = float('-inf')
-    told_at: float = float('-inf')
+    announced_at: float = float('-inf')
     send_at: float = float('-inf')
     random: random.Random = attrs.field(factory=random.Random)
 
@@ -186,7 +188,7 @@
         """Return the last window of which a report is known to be recorded."""
         record = self.duty.record
         known = record.recorded if record is not None else 0
-        return max(known, self.news.recorded)
+        return max(known, self.holder_status.recorded)
 
     @property
     def windows(self) -> count_module.Windows:
@@ -205,7 +207,7 @@
 
     def handle_lease(self, message: messages.UsageLease) -> None:
         """Note what the holder tells."""
-        self.news.note(message, self.clock.monotonic())
+        self.holder_status.note(message, self.clock.monotonic())
         self.duty.note_heard(message.revision, self.read())
 
     async def run(self) -> None:
@@ -222,13 +224,13 @@
             if self.exchange.first is None or not self.is_required():
                 continue
             if self.is_lost:
-                await self._find_out()
+                await self._resolve_lost_write()
             elif self.duty.is_holder:
-                await self._hold()
+                await self._report_as_holder()
             elif self.role.is_relay:
-                await self._contend()
+                await self._take_over_if_due()
 
-    async def _hold(self) -> None:
+    async def _report_as_holder(self) -> None:
         """Record and send what is due."""
         now = self.clock.monotonic()
         if now < max(self.write_at, self.yields_until):
@@ -236,7 +238,7 @@
         reports, missing = self._ready()
         is_retried = bool(self.duty.unsent()) and now >= self.retry_at
         if not reports and not is_retried:
-            self._tell_if_late(now)
+            self._announce_if_late(now)
             return
         is_certain = self.duty.left_s(self.read()) > RENEW_S
         if (reports or not is_certain) and not await self._write(reports):
@@ -244,14 +246,14 @@
         _log_incomplete(reports, missing)
         if self.clock.monotonic() >= self.retry_at:
             await self._deliver()
-        self._tell()
+        self._announce()
 
-    async def _contend(self) -> None:
+    async def _take_over_if_due(self) -> None:
         """Take over the duty if its holder does not do it."""
         now = self.clock.monotonic()
         if now < self.write_at:
             return
-        if self.duty.seen is None and not self.news.recorded:
+        if self.duty.seen is None and not self.holder_status.recorded:
             # The wait for the end of a lease counts from the first reading.
             await self._read_record(now)
             return
@@ -278,7 +280,7 @@
         _log_incomplete(reports, missing)
         self.failures = 0
         await self._deliver()
-        self._tell()
+        self._announce()
 
     def _plan(self) -> contention.Plan:
         """Return when this node should take over."""
@@ -293,7 +295,7 @@
             bool(self._missing(recorded + 1)),
             self.settings.latest.total_seconds() * INCOMPLETE_SHARE,
             self.settings.lease.total_seconds(),
-            self.news,
+            self.holder_status,
             not self.recorded,
             record is not None
             and not self.duty.is_holder
@@ -307,7 +309,7 @@
         seen = self.duty.seen
         if seen is None:
             return False
-        return (seen.revision or 0) >= self.news.revision
+        return (seen.revision or 0) >= self.holder_status.revision
 
     async def _read_record(self, now: float) -> None:
         """Read the record from the store."""
@@ -327,7 +329,7 @@
         revision = item.revision if item else None
         self.duty.note_read(revision, record, self.read())
 
-    async def _find_out(self) -> None:
+    async def _resolve_lost_write(self) -> None:
         """Read what the store holds after a write with an unknown outcome."""
         now = self.clock.monotonic()
         if now >= self.write_at:
@@ -361,7 +363,7 @@
             raise
         self.store_back_off_s = 0.0
         self.duty.note_written(item.revision)
-        self._tell()
+        self._announce()
         return True
 
     def _begin_write(self, reports: list[duties.Report]) -> duties.Record:
@@ -411,8 +413,10 @@
                 left_s = self.duty.left_s(self.read())
                 if left_s <= 0.0:
                     break
-                patience_s = began + self.patience_s - self.clock.monotonic()
-                if patience_s <= 0.0:
+                remaining_s = (
+                    began + self.response_timeout_s - self.clock.monotonic()
+                )
+                if remaining_s <= 0.0:
                     self._note_no_response()
                     break
                 if renewal is None and left_s <= RENEW_S:
@@ -420,7 +424,7 @@
                 wait_s = left_s if renewal else left_s - RENEW_S
                 done, _ = await asyncio.wait(
                     {*tasks, renewal} - {None},
-                    timeout=max(min(wait_s, patience_s), MIN_WAIT_S),
+                    timeout=max(min(wait_s, remaining_s), MIN_WAIT_S),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 tasks -= done
@@ -436,7 +440,9 @@
     def _note_no_response(self) -> None:
         """Note that reports were not answered in time."""
         self.failures += UNABLE_AFTER
-        self.patience_s = min(2 * self.patience_s, PATIENCE_S[1])
+        self.response_timeout_s = min(
+            2 * self.response_timeout_s, RESPONSE_TIMEOUT_S[1]
+        )
 
     async def _renew(self) -> None:
         """Renew the lease; pause if that fails."""
@@ -461,8 +467,8 @@
         if outcome is usage_api.Outcome.ACCEPTED:
             self.duty.note_accepted(report.window)
             took_s = self.clock.monotonic() - began
-            self.patience_s = min(
-                max(2 * took_s, PATIENCE_S[0]), PATIENCE_S[1]
+            self.response_timeout_s = min(
+                max(2 * took_s, RESPONSE_TIMEOUT_S[0]), RESPONSE_TIMEOUT_S[1]
             )
         if outcome is usage_api.Outcome.UNREACHABLE:
             self.failures += 1
@@ -539,20 +545,20 @@
         oldest = self.exchange.noted - count_module.MAX_WINDOWS
         self.exchange.sums.forget_before(oldest)
 
-    def _tell_if_late(self, now: float) -> None:
-        """Tell that this node is at work while a report is late."""
+    def _announce_if_late(self, now: float) -> None:
+        """Announce that this node is at work while a report is late."""
         record = self.duty.record
         age_s = self.exchange.age_s(record.recorded + 1)
-        is_late = bool(self.duty.unsent()) or age_s > TELL_INTERVAL_S
-        if is_late and now - self.told_at >= TELL_INTERVAL_S:
-            self._tell()
+        is_late = bool(self.duty.unsent()) or age_s > ANNOUNCE_INTERVAL_S
+        if is_late and now - self.announced_at >= ANNOUNCE_INTERVAL_S:
+            self._announce()
 
-    def _tell(self) -> None:
-        """Tell the other nodes of the record, and what was accepted."""
+    def _announce(self) -> None:
+        """Announce the record, and what was accepted, to the other nodes."""
         seen = self.duty.seen
         if seen is None or not self.duty.is_holder:
             return
-        self.told_at = self.clock.monotonic()
+        self.announced_at = self.clock.monotonic()
         unsent = [report.window for report in self.duty.unsent()]
         accepted = min(unsent, default=seen.record.recorded + 1) - 1
         message = messages.UsageLease(
@@ -560,9 +566,9 @@
             seen.revision,
             max(seen.record.recorded, 0),
             max(accepted, 0),
-            self.told_at >= self.yields_until,
+            self.announced_at >= self.yields_until,
         )
-        self.news.note(message, self.told_at)
+        self.holder_status.note(message, self.announced_at)
         self.exchange.broadcast(message)
 
 
