Usage reports: split the reporter by concern

usage/sender.py sends reports and paces them, usage/readiness.py tells which windows may be reported, usage/reporter.py keeps the steps of the duty and the calls to the store. The simulated nodes set the clocks, the API and the random numbers of both parts.

--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -135,6 +135,8 @@
     'pomelobend.usage.counts',
     'pomelobend.usage.duty',
     'pomelobend.usage.exchange',
+    'pomelobend.usage.readiness',
+    'pomelobend.usage.sender',
     'pomelobend.usage.reporter',
 )
 """The same of a node that takes part in usage reports, to be loaded last."""
--- a/pomelobend/usage/reporter.py
+++ b/pomelobend/usage/reporter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 import typing
@@ -18,6 +17,8 @@
 from pomelobend.usage import counts as count_module
 from pomelobend.usage import duty as duties
 from pomelobend.usage import exchange as exchange_module
+from pomelobend.usage import readiness as readiness_module
+from pomelobend.usage import sender as senders
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -34,33 +35,6 @@
 TICK_S = 0.25
 """Interval of the exchange of counts and of the steps of the duty."""
 
-RENEW_S = 0.9
-"""Time before the end of the lease from which it is renewed while responses
-of the usage API are waited for."""
-
-MIN_WAIT_S = 0.01
-"""Least wait between two looks at the lease while reports are sent."""
-
-RESPONSE_TIMEOUT_S = (3.5, 10.0)
-"""Least and longest wait for the response to a report. The least one leaves
-time for another node to take over within the 10 s in which a report is due;
-it is doubled when it was reached, as the API may be slow for all nodes."""
-
-BACK_OFF_S = (0.25, 4.0)
-"""First and longest pause after reports that were not accepted."""
-
-UNABLE_AFTER = 2
-"""Failures to reach the usage API in a row after which another node tries. A
-response that does not come counts as so many."""
-
-YIELD_S = 6.0
-"""Time for which a holder that cannot reach the usage API writes nothing. It
-exceeds the lease, so that another node can take over."""
-
-DECLINE_S = 30.0
-"""Time for which a node that could not reach the usage API does not take over
-the duty. While none can reach it, the duty goes round only this often."""
-
 STORE_BACK_OFF_S = (0.5, 4.0)
 """First and longest pause after calls to the store that have failed."""
 
@@ -70,18 +44,6 @@
 ANNOUNCE_INTERVAL_S = 1.0
 """Interval at which a holder announces that it is at work on a late report."""
 
-MAX_PENDING = 12
-MAX_PENDING_COUNTS = 20_000
-"""Reports that the record holds at most, and the sum of their counts."""
-
-RATE_SHARE = 0.5
-"""Share of the calls per second that the usage API takes from all nodes. Two
-holders may send for a moment after a takeover."""
-
-INCOMPLETE_SHARE = 0.75
-"""Share of the time in which a report is due for which the counts of a failure
-domain are waited for."""
-
 
 def read_clocks() -> duties.Reading:
     """Read the clocks of this VM."""
@@ -105,32 +67,19 @@
         What the holder has announced.
     is_lost : bool
         Whether a write of this process as the holder had an unknown outcome.
-    failures : int
-        Reports in a row for which the usage API could not be reached.
-    back_off_s : float
-        The last pause in s; 0 after success.
-    retry_at : float
-        Monotonic time of the next attempt to send reports.
-    yields_until : float
-        Monotonic time until which this node writes nothing as the holder.
-    declines_until : float
-        Monotonic time until which it does not take over the duty.
-    response_timeout_s : float
-        Time in s for which the response to a report is waited for.
     store_back_off_s : float
         The last pause in s after a failed call to the store; 0 after success.
     write_at, read_at : float
         Monotonic time of the next call to the store, and of the last reading.
     announced_at : float
         Monotonic time at which the duty was last announced to other nodes.
-    send_at : float
-        Monotonic time at which the last report was or will be sent.
     """
 
     settings: platform_settings.UsageReporting
     exchange: exchange_module.Exchange
     duty: duties.Duty
-    api: usage_api.UsageApi
+    readiness: readiness_module.Readiness
+    sender: senders.Sender
     store: objects.ObjectStore
     directory: directories.Directory
     role: relay_role.RelayRole
@@ -141,17 +90,10 @@
         factory=contention.HolderStatus
     )
     is_lost: bool = False
-    failures: int = 0
-    back_off_s: float = 0.0
-    retry_at: float = float('-inf')
-    yields_until: float = float('-inf')
-    declines_until: float = float('-inf')
-    response_timeout_s: float = RESPONSE_TIMEOUT_S[0]
     store_back_off_s: float = 0.0
     write_at: float = float('-inf')
     read_at: float = float('-inf')
     announced_at: float = float('-inf')
-    send_at: float = float('-inf')
     random: random.Random = attrs.field(factory=random.Random)
 
     @classmethod
@@ -169,13 +111,24 @@
         lease_s = settings.lease.total_seconds()
         windows = count_module.Windows(settings.window.total_seconds())
         own = directory.own
+        exchange = exchange_module.Exchange(
+            directory, role, clock, broadcaster.send, windows
+        )
+        duty = duties.Duty(own.node, own.incarnation, lease_s)
         return cls(
             settings,
-            exchange_module.Exchange(
-                directory, role, clock, broadcaster.send, windows
+            exchange,
+            duty,
+            readiness_module.Readiness(settings, exchange, duty, directory),
+            senders.Sender(
+                duty,
+                usage_api.UsageApi.from_config(
+                    settings.address, lease_s, clock
+                ),
+                clock,
+                settings.calls_per_s,
+                read_clocks,
             ),
-            duties.Duty(own.node, own.incarnation, lease_s),
-            usage_api.UsageApi.from_config(settings.address, lease_s, clock),
             store,
             directory,
             role,
@@ -202,7 +155,7 @@
             'usage_token': lambda: (
                 self.duty.record.token if self.duty.record is not None else 0
             ),
-            'usage_oldest_window_age_seconds': self._oldest_age_s,
+            'usage_oldest_window_age_seconds': self.readiness.oldest_age_s,
         }
 
     def handle_lease(self, message: messages.UsageLease) -> None:
@@ -233,19 +186,19 @@
     async def _report_as_holder(self) -> None:
         """Record and send what is due."""
         now = self.clock.monotonic()
-        if now < max(self.write_at, self.yields_until):
+        if now < max(self.write_at, self.sender.yields_until):
             return
-        reports, missing = self._ready()
-        is_retried = bool(self.duty.unsent()) and now >= self.retry_at
+        reports, missing = self.readiness.reports()
+        is_retried = bool(self.duty.unsent()) and now >= self.sender.retry_at
         if not reports and not is_retried:
             self._announce_if_late(now)
             return
-        is_certain = self.duty.left_s(self.read()) > RENEW_S
+        is_certain = self.duty.left_s(self.read()) > senders.RENEW_S
         if (reports or not is_certain) and not await self._write(reports):
             return
-        _log_incomplete(reports, missing)
-        if self.clock.monotonic() >= self.retry_at:
-            await self._deliver()
+        readiness_module.log_incomplete(reports, missing)
+        if self.clock.monotonic() >= self.sender.retry_at:
+            await self.sender.deliver(self._renew)
         self._announce()
 
     async def _take_over_if_due(self) -> None:
@@ -267,7 +220,7 @@
         if not self.duty.may_write(self.read()):
             return
         self._skip_oldest()
-        reports, missing = self._ready()
+        reports, missing = self.readiness.reports()
         before = self.duty.record
         if not await self._write(reports):
             return
@@ -277,23 +230,23 @@
             token=self.duty.record.token,
             resent=len(self.duty.unsent()) - len(reports),
         )
-        _log_incomplete(reports, missing)
-        self.failures = 0
-        await self._deliver()
+        readiness_module.log_incomplete(reports, missing)
+        self.sender.failures = 0
+        await self.sender.deliver(self._renew)
         self._announce()
 
     def _plan(self) -> contention.Plan:
         """Return when this node should take over."""
         record = self.duty.record
-        domains = sorted(self._domains())
+        domains = sorted(self.readiness.domains())
         recorded = self.recorded or self.exchange.first - 1
         sums = self.exchange.sums
         return contention.Plan(
             self.windows,
             recorded,
             domains.index(self.directory.own.domain),
-            bool(self._missing(recorded + 1)),
-            self.settings.latest.total_seconds() * INCOMPLETE_SHARE,
+            bool(self.readiness.missing(recorded + 1)),
+            self.readiness.incomplete_s,
             self.settings.lease.total_seconds(),
             self.holder_status,
             not self.recorded,
@@ -301,7 +254,7 @@
             and not self.duty.is_holder
             and record.recorded == recorded
             and record.domains < len(sums.domains(recorded)),
-            self.declines_until,
+            self.sender.declines_until,
         )
 
     def _is_record_current(self) -> bool:
@@ -397,149 +350,11 @@
             + self.store_back_off_s * self.random.uniform(0.7, 1.0)
         )
 
-    async def _deliver(self) -> None:
-        """Send what is recorded while the lease is certain, and renew it.
-
-        Whatever has not been answered when the lease ends is aborted.
-        """
-        began = self.clock.monotonic()
-        tasks = {
-            asyncio.create_task(self._send(report))
-            for report in self.duty.unsent()
-        }
-        renewal = None
-        try:
-            while tasks:
-                left_s = self.duty.left_s(self.read())
-                if left_s <= 0.0:
-                    break
-                remaining_s = (
-                    began + self.response_timeout_s - self.clock.monotonic()
-                )
-                if remaining_s <= 0.0:
-                    self._note_no_response()
-                    break
-                if renewal is None and left_s <= RENEW_S:
-                    renewal = asyncio.create_task(self._renew())
-                wait_s = left_s if renewal else left_s - RENEW_S
-                done, _ = await asyncio.wait(
-                    {*tasks, renewal} - {None},
-                    timeout=max(min(wait_s, remaining_s), MIN_WAIT_S),
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                tasks -= done
-                renewal = None if renewal in done else renewal
-        finally:
-            for task in tasks:
-                task.cancel()
-        if renewal is not None:
-            await renewal
-        await asyncio.gather(*tasks, return_exceptions=True)
-        self._note_delivered()
-
-    def _note_no_response(self) -> None:
-        """Note that reports were not answered in time."""
-        self.failures += UNABLE_AFTER
-        self.response_timeout_s = min(
-            2 * self.response_timeout_s, RESPONSE_TIMEOUT_S[1]
-        )
-
     async def _renew(self) -> None:
         """Renew the lease; pause if that fails."""
         if not await self._write([]):
             await self.clock.sleep(STORE_BACK_OFF_S[0])
 
-    async def _send(self, report: duties.Report) -> None:
-        """Send one report at its turn, within the rate of the API."""
-        token = self.duty.record.token
-        now = self.clock.monotonic()
-        self.send_at = max(
-            now, self.send_at + 1 / (self.settings.calls_per_s * RATE_SHARE)
-        )
-        await self.clock.sleep(self.send_at - now)
-        began = self.clock.monotonic()
-        outcome = await self.api.send(
-            report,
-            self.duty.holder,
-            token,
-            lambda: self.duty.left_s(self.read()) > 0.0,
-        )
-        if outcome is usage_api.Outcome.ACCEPTED:
-            self.duty.note_accepted(report.window)
-            took_s = self.clock.monotonic() - began
-            self.response_timeout_s = min(
-                max(2 * took_s, RESPONSE_TIMEOUT_S[0]), RESPONSE_TIMEOUT_S[1]
-            )
-        if outcome is usage_api.Outcome.UNREACHABLE:
-            self.failures += 1
-        elif outcome is not usage_api.Outcome.NOT_SENT:
-            self.failures = 0
-
-    def _note_delivered(self) -> None:
-        """Set the pause before the next reports are sent."""
-        now = self.clock.monotonic()
-        if not self.duty.unsent():
-            self.back_off_s = 0.0
-            return
-        first_s, longest_s = BACK_OFF_S
-        self.back_off_s = min(max(2 * self.back_off_s, first_s), longest_s)
-        self.retry_at = now + self.back_off_s * self.random.uniform(0.7, 1.0)
-        if self.failures >= UNABLE_AFTER and self.duty.is_holder:
-            self.yields_until = now + YIELD_S
-            self.declines_until = now + DECLINE_S
-            logger.warning(
-                'usage: API not reached, another node may take over',
-                failures=self.failures,
-                unsent=len(self.duty.unsent()),
-            )
-            self.failures = 0
-
-    def _ready(self) -> tuple[list[duties.Report], dict[int, set[str]]]:
-        """Return the reports that may be recorded, and what they lack."""
-        record = self.duty.record
-        first = record.recorded + 1 if record else self.exchange.first
-        first = max(first, self.exchange.sums.oldest)
-        unsent = self.duty.unsent()
-        size = sum(len(report.counts) for report in unsent)
-        reports: list[duties.Report] = []
-        missing: dict[int, set[str]] = {}
-        for window in range(first, self.exchange.noted):
-            lacks = self._missing(window)
-            if lacks and self.exchange.age_s(window) < self._incomplete_s:
-                break
-            counts = self.exchange.sums.total(window)
-            size += len(counts)
-            count = len(unsent) + len(reports)
-            if count and (count >= MAX_PENDING or size > MAX_PENDING_COUNTS):
-                break
-            reports.append(duties.Report(window, counts))
-            if lacks:
-                missing[window] = lacks
-        return reports, missing
-
-    @property
-    def _incomplete_s(self) -> float:
-        return self.settings.latest.total_seconds() * INCOMPLETE_SHARE
-
-    def _missing(self, window: int) -> set[str]:
-        """Return the failure domains without a sum of a window."""
-        return self._domains() - self.exchange.sums.domains(window)
-
-    def _domains(self) -> set[str]:
-        known = {node.domain for node in self.directory.known.values()}
-        return known - {''} | {self.directory.own.domain}
-
-    def _oldest_age_s(self) -> float:
-        """Return how long ago the oldest window without a report has ended.
-
-        It is 0 at a node that does not have the duty.
-        """
-        if not self.duty.is_holder:
-            return 0.0
-        unsent = [report.window for report in self.duty.unsent()]
-        oldest = min(unsent, default=self.duty.record.recorded + 1)
-        return max(self.exchange.age_s(oldest), 0.0)
-
     def _skip_oldest(self) -> None:
         """Forget windows of a time of which no node holds counts."""
         oldest = self.exchange.noted - count_module.MAX_WINDOWS
@@ -566,20 +381,7 @@
             seen.revision,
             max(seen.record.recorded, 0),
             max(accepted, 0),
-            self.announced_at >= self.yields_until,
+            self.announced_at >= self.sender.yields_until,
         )
         self.holder_status.note(message, self.announced_at)
         self.exchange.broadcast(message)
-
-
-def _log_incomplete(
-    reports: list[duties.Report], missing: dict[int, set[str]]
-) -> None:
-    """Log the windows that are reported without all domains."""
-    for report in reports:
-        if report.window in missing:
-            logger.warning(
-                'usage: window reported incomplete',
-                window=report.window,
-                missing=sorted(missing[report.window]),
-            )
--- a/tests/steps/test_mesh_usage_simulated.py
+++ b/tests/steps/test_mesh_usage_simulated.py
@@ -181,13 +181,13 @@
             self.clock,
             lambda: True,
         )
-        self.usage.api = Api(platform, self.name)
-        self.usage.read = lambda: duties.Reading(
+        self.usage.sender.api = Api(platform, self.name)
+        self.usage.read = self.usage.sender.read = lambda: duties.Reading(
             self.clock.monotonic(),
             self.clock.monotonic(),
             self.clock.now().timestamp(),
         )
-        self.usage.random = random.Random(self.name)
+        self.usage.random = self.usage.sender.random = random.Random(self.name)
         self.links.on_link.append(self.usage.exchange.resend)
         self.broadcaster.dispatch = self.dispatch_broadcast
 
