--- a/tests/mesh/test_mesh_clients.feature
+++ b/tests/mesh/test_mesh_clients.feature
@@ -1,10 +1,10 @@
 Feature: clients that keep to no limits
 
-  Each crowd stays connected while an ordinary request is sent. The bounds
+  All clients stay connected while an ordinary request is sent. The bounds
   follow from the settings of the scenario; no time and no share of served
-  requests of the crowd is checked.
+  requests of these clients is checked.
 
-  # Guards against a node that a crowd of clients ends, fills or locks up.
+  # Guards against a node that many clients end, fill or lock up.
   Scenario Outline: <count> clients, <kind>, <descriptors> descriptors
     Given two VMs whose nodes may use 80 MB and <descriptors> descriptors
     When <count> clients connect to a node: <kind>
@@ -35,7 +35,7 @@
       | 160   | a small body but for its last byte    | 128         |
       | 960   | nothing                               | 1024        |
 
-  # Guards against small ports whose crowds take the descriptors of all.
+  # Guards against small ports whose clients take the descriptors of all.
   Scenario Outline: 160 clients of the <port> port, nothing, 128 descriptors
     Given two VMs whose nodes may use 80 MB and 128 descriptors
     When 160 clients connect to the <port> port of a node: nothing
--- a/tests/steps/test_mesh_clients.py
+++ b/tests/steps/test_mesh_clients.py
@@ -26,7 +26,7 @@
 OWN = '/booking/a'
 """Path of the requests to the target in that VM."""
 
-CROWD_BODY_BYTES = 4 * MB
+BODY_BYTES = 4 * MB
 """Size of a large body of the clients; the limit of the configuration."""
 
 SMALL_BODY_BYTES = 48 * KB
@@ -121,13 +121,13 @@
 
 
 async def _send_body(writer: asyncio.StreamWriter, identity: str) -> None:
-    writer.write(_announced(identity, CROWD_BODY_BYTES))
-    writer.write(bytes(CROWD_BODY_BYTES - 1))
+    writer.write(_announced(identity, BODY_BYTES))
+    writer.write(bytes(BODY_BYTES - 1))
 
 
 async def _send_pieces(writer: asyncio.StreamWriter, identity: str) -> None:
-    writer.write(_announced(identity, CROWD_BODY_BYTES))
-    for _ in range(CROWD_BODY_BYTES // PIECE_BYTES - 1):
+    writer.write(_announced(identity, BODY_BYTES))
+    for _ in range(BODY_BYTES // PIECE_BYTES - 1):
         writer.write(bytes(PIECE_BYTES))
         await writer.drain()
         await asyncio.sleep(PIECE_PAUSE_S)
@@ -139,7 +139,7 @@
 ) -> None:
     chunk = b'%x\r\n%b\r\n' % (64 * KB, bytes(64 * KB))
     writer.write(_chunked(identity))
-    for _ in range(CROWD_BODY_BYTES // (64 * KB) - 1):
+    for _ in range(BODY_BYTES // (64 * KB) - 1):
         writer.write(chunk)
         await writer.drain()
     writer.write(chunk[:-3])
@@ -182,7 +182,7 @@
     )
     configuration = mesh.configuration(2)
     if megabytes < 200:
-        configuration['limits']['max_body_bytes'] = CROWD_BODY_BYTES
+        configuration['limits']['max_body_bytes'] = BODY_BYTES
     for rule in configuration['listeners'][0]['rules']:
         rule['action']['timeout_ms'] = DEADLINE_MS
 
@@ -201,7 +201,7 @@
             )
 
     context.descriptors = descriptors
-    context.crowd = []
+    context.clients = []
     context.run(start())
 
 
@@ -228,7 +228,7 @@
         async with gate:
             with contextlib.suppress(OSError):
                 reader, writer = await _open(address)
-                context.crowd.append((reader, writer))
+                context.clients.append((reader, writer))
                 await KINDS[kind](writer, f'c-{number}')
 
     await asyncio.gather(*map(act, range(count)))
