--- a/pomelobend/usage/exchange.py
+++ b/pomelobend/usage/exchange.py
@@ -1,4 +1,4 @@
-"""Counts on their way: from nodes to their relay, and between domains."""
+"""Exchange of counts: from nodes to their relay, and between domains."""
 
 from __future__ import annotations
 
@@ -35,7 +35,10 @@
 recorded: a link between domains may have been replaced meanwhile."""
 
 CLOCK_TTL_S = 2.5
-"""Time for which the window that a node has told counts."""
+"""Time for which the window that a node has sent counts for the median."""
+
+SENDER_TTL_S = 60.0
+"""Time without a message after which a sender is forgotten."""
 
 MAX_AHEAD = 2
 """Windows by which those of another node may be ahead of the current one."""
@@ -70,8 +73,9 @@
     broadcast : callable
     sent : dict
         By connection, the round up to which counts were sent on it.
-    told : dict
-        By sender, the last window that it has completed, and when it told.
+    closed_by_sender : dict
+        By sender, the last window that it has completed, and the monotonic
+        time at which it said so.
     published : dict
         By window, the sum of the own domain as broadcast.
     first : int or None
@@ -106,8 +110,8 @@
     )
     sums: count_module.Sums = attrs.field(factory=count_module.Sums)
     sent: dict[connections.Connection, int] = attrs.field(factory=dict)
-    told: dict[count_module.Sender, tuple[int, float]] = attrs.field(
-        factory=dict
+    closed_by_sender: dict[count_module.Sender, tuple[int, float]] = (
+        attrs.field(factory=dict)
     )
     published: dict[int, Published] = attrs.field(factory=dict)
     first: int | None = None
@@ -131,17 +135,17 @@
     def current(self) -> int:
         """Return the current window by the clocks of the domain.
 
-        It is the lower median of what the nodes tell, so that a step of one
+        It is the lower median of what the nodes send, so that a step of one
         clock ends no window early.
         """
         now = self.clock.monotonic()
-        told = [
+        current_windows = [
             closed + 1
-            for closed, at in self.told.values()
+            for closed, at in self.closed_by_sender.values()
             if now - at <= CLOCK_TTL_S
         ]
         own = self.windows.number(self.wall_s())
-        return statistics.median_low([own, *told])
+        return statistics.median_low([own, *current_windows])
 
     def age_s(self, window: int) -> float:
         """Return how long ago a window has ended, negative if it has not.
@@ -282,9 +286,9 @@
         ]
 
     def _note_closed(self, sender: count_module.Sender, closed: int) -> None:
-        known, _ = self.told.get(sender, (closed - 1, 0.0))
+        known, _ = self.closed_by_sender.get(sender, (closed - 1, 0.0))
         if sender != self.own:
-            self.told[sender] = (closed, self.clock.monotonic())
+            self.closed_by_sender[sender] = (closed, self.clock.monotonic())
         first = max(known + 1, closed - count_module.DETAILED_WINDOWS)
         for window in range(min(first, closed), closed + 1):
             self.nodes.close(sender, window)
@@ -360,9 +364,13 @@
         for window in [w for w in self.published if w < detailed]:
             del self.published[window]
         now = self.clock.monotonic()
-        silent = [s for s, (_, at) in self.told.items() if now - at > 60.0]
+        silent = [
+            s
+            for s, (_, at) in self.closed_by_sender.items()
+            if now - at > SENDER_TTL_S
+        ]
         for sender in silent:
-            del self.told[sender]
+            del self.closed_by_sender[sender]
 
 
 def _preference(record: typing.Any) -> tuple[int, str]:
