--- a/tests/steps/test_mesh_usage_simulated.py
+++ b/tests/steps/test_mesh_usage_simulated.py
@@ -19,6 +19,7 @@
 from pomelobend import errors
 from pomelobend.peers import codec
 from pomelobend.peers import messages
+from pomelobend.platform import eras as era_module
 from pomelobend.platform import objects
 from pomelobend.platform import settings as platform_settings
 from pomelobend.platform import usage_api
@@ -79,6 +80,7 @@
 
     platform: Platform
     node: str
+    eras: era_module.StoreEra = attrs.field(factory=era_module.StoreEra)
 
     async def list(self, kind: str) -> objects.Listing:
         """Return the record."""
@@ -181,13 +183,13 @@
             self.clock,
             lambda: True,
         )
-        self.usage.api = Api(platform, self.name)
-        self.usage.read = lambda: duties.Reading(
+        self.usage.sender.api = Api(platform, self.name)
+        self.usage.read = self.usage.sender.read = lambda: duties.Reading(
             self.clock.monotonic(),
             self.clock.monotonic(),
             self.clock.now().timestamp(),
         )
-        self.usage.random = random.Random(self.name)
+        self.usage.random = self.usage.sender.random = random.Random(self.name)
         self.links.on_link.append(self.usage.exchange.resend)
         self.broadcaster.dispatch = self.dispatch_broadcast
 
