--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -14,13 +14,13 @@
 from pomelobend.admission import shares as share_module
 from pomelobend.admission import waiting
 from pomelobend import errors
+from pomelobend.routing import call as call_module
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from pomelobend import clock as clocks
     from pomelobend.metrics import counters as counter_module
-    from pomelobend.routing import call as call_module
 
 TIMELY_SHARE = 0.9
 """Share of the time left to the latency objective that waiting and running
@@ -32,11 +32,6 @@
 """Estimated remaining time of a call that has exceeded its expected run time,
 as a share of the mean run time."""
 
-NESTED_PRIORITY = -1
-"""Priority of nested calls in the queue. They start before all new calls and
-are never refused for one: their parents have slots already, and refusing them
-wastes that work. They are few and short beside their parents."""
-
 State = registrations.State
 
 
@@ -86,7 +81,7 @@
 
         They start before less urgent ones, however many of these wait.
         """
-        rank = NESTED_PRIORITY if is_nested else priority
+        rank = call_module.NESTED_RANK if is_nested else priority
         order = (not is_nested, rank, math.inf, math.inf)
         overtaken = self.queue.size - len(self.queue.before(order))
         free = self.free
@@ -175,7 +170,7 @@
         priority would otherwise get theirs.
         """
         if call.is_nested:
-            return _rank(call)
+            return call.rank
         return self.shares.effective_priority(call.priority)
 
     def _makes_others_late(
@@ -234,11 +229,11 @@
         until its deadline.
         """
         until = call.deadline if call.is_nested else call.due
-        self.reserve.note_arrival(_rank(call), run_s, until - now, now)
+        self.reserve.note_arrival(call.rank, run_s, until - now, now)
 
     def _note_wait(self, waiting_call: call_module.Call, now: float) -> None:
         """Note that a call waits while less urgent ones have slots."""
-        rank = _rank(waiting_call)
+        rank = waiting_call.rank
         if self.running >= self.registration.slots and any(
             call.priority > rank for call in self._running_new
         ):
@@ -355,8 +350,3 @@
         reason = errors.Reason.OVERLOADED
         self.counters.add('calls_not_admitted', reason)
         raise errors.CallRefusedError(reason, detail=detail)
-
-
-def _rank(call: call_module.Call) -> int:
-    """Return the priority of a call in the queue unless it is starved."""
-    return NESTED_PRIORITY if call.is_nested else call.priority
