Usage reports: the simulated store has an era

Since the merge of eras the reporter reads the era of its store; without one the messages of the holder raised AttributeError in the simulation, and two nodes took themselves for the holder.

--- a/tests/steps/test_mesh_usage_simulated.py
+++ b/tests/steps/test_mesh_usage_simulated.py
@@ -19,6 +19,7 @@
 from pomelobend import errors
 from pomelobend.peers import codec
 from pomelobend.peers import messages
+from pomelobend.platform import eras as era_module
 from pomelobend.platform import objects
 from pomelobend.platform import settings as platform_settings
 from pomelobend.platform import usage_api
@@ -79,6 +80,7 @@
 
     platform: Platform
     node: str
+    eras: era_module.StoreEra = attrs.field(factory=era_module.StoreEra)
 
     async def list(self, kind: str) -> objects.Listing:
         """Return the record."""
