Usage reports: calls that targets refuse unrun are taken back

A target that sheds load refuses calls at once; they were counted as begun, so that reports exceeded the truth.

--- a/pomelobend/usage/counts.py
+++ b/pomelobend/usage/counts.py
@@ -79,6 +79,12 @@
         counts[team] = counts.get(team, 0) + 1
         self.changed.setdefault(window, {})[team] = self.round
 
+    def withdraw(self, team: str, at: float) -> None:
+        """Take back a call that was counted at a time and has not run."""
+        counts = self.by_window.get(self.windows.number(at))
+        if counts is not None:
+            counts[team] -= 1
+
     def begin_round(self) -> int:
         """Begin another round and return the number of the one before."""
         self.round += 1
--- a/pomelobend/usage/exchange.py
+++ b/pomelobend/usage/exchange.py
@@ -73,6 +73,9 @@
     broadcast : callable
     sent : dict
         By connection, the round up to which counts were sent on it.
+    unflushed : dict
+        By identity of the call, the team and the time of calls that were
+        counted since the counts were last sent.
     closed_by_sender : dict
         By sender, the last window that it has completed, and the monotonic
         time at which it said so.
@@ -110,6 +113,7 @@
     )
     sums: count_module.Sums = attrs.field(factory=count_module.Sums)
     sent: dict[connections.Connection, int] = attrs.field(factory=dict)
+    unflushed: dict[int, tuple[str, float]] = attrs.field(factory=dict)
     closed_by_sender: dict[count_module.Sender, tuple[int, float]] = (
         attrs.field(factory=dict)
     )
@@ -166,7 +170,18 @@
     def note_sent(self, call: call_module.Call) -> None:
         """Count a call that is sent to the local target."""
         if call.team and not call.is_nested:
-            self.local.note(call.team, self.wall_s())
+            at = self.wall_s()
+            self.local.note(call.team, at)
+            self.unflushed[id(call)] = (call.team, at)
+
+    def note_not_run(self, call: call_module.Call) -> None:
+        """Do not count a call that the target has refused unrun.
+
+        Once its count has been sent it remains, as counts only grow there.
+        """
+        counted = self.unflushed.pop(id(call), None)
+        if counted is not None:
+            self.local.withdraw(*counted)
 
     def tick(self, recorded: int) -> None:
         """Send what is due.
@@ -237,6 +252,7 @@
 
     def _flush(self, window: int) -> None:
         """Send counts that have changed to the relay and its deputy."""
+        self.unflushed.clear()
         last_round = self.local.begin_round()
         for number, counts in self.local.changes_since(
             self.merged_round
--- a/tests/steps/test_usage_counts.py
+++ b/tests/steps/test_usage_counts.py
@@ -175,6 +175,19 @@
         context.exchange.note_sent(call)
 
 
+@behave.when('the target refuses {refused:d} of {sent:d} calls of {team}')
+def when_refused(
+    context: typing.Any, refused: int, sent: int, team: str
+) -> None:
+    calls = [
+        types.SimpleNamespace(team=team, is_nested=False) for _ in range(sent)
+    ]
+    for call in calls:
+        context.exchange.note_sent(call)
+    for call in calls[:refused]:
+        context.exchange.note_not_run(call)
+
+
 @behave.then('the node has counted {count:d} call of {team}')
 def then_counted(context: typing.Any, count: int, team: str) -> None:
     found = list(context.exchange.local.by_window.values())
--- a/tests/usage/test_usage_counts.feature
+++ b/tests/usage/test_usage_counts.feature
@@ -37,6 +37,12 @@
     When calls of pulo780, of no team and a nested one of pulo780 are sent
     Then the node has counted 1 call of pulo780
 
+  # Guards against reports that exceed the truth while targets shed load.
+  Scenario: calls that the target refuses without running them are not counted
+    Given the exchange of a node
+    When the target refuses 3 of 4 calls of pulo780
+    Then the node has counted 1 call of pulo780
+
   # Guards against counts that are no counts, which would be added up.
   Scenario Outline: counts that are malformed are refused, <item>
     Given the exchange of a node
