--- a/pomelobend/usage/sender.py
+++ b/pomelobend/usage/sender.py
@@ -105,10 +105,12 @@
             Renews the lease, or pauses if that fails.
         """
         began = self.clock.monotonic()
-        tasks = {
-            asyncio.create_task(self._send(report))
+        token = self.duty.record.token
+        sends = [
+            asyncio.create_task(self._send(report, token))
             for report in self.duty.unsent()
-        }
+        ]
+        tasks = set(sends)
         renewal = None
         try:
             while tasks:
@@ -131,12 +133,16 @@
                 )
                 tasks -= done
                 renewal = None if renewal in done else renewal
+        except asyncio.CancelledError:
+            if renewal is not None:
+                renewal.cancel()
+            raise
         finally:
             for task in tasks:
                 task.cancel()
         if renewal is not None:
             await renewal
-        await asyncio.gather(*tasks, return_exceptions=True)
+        _log_errors(await asyncio.gather(*sends, return_exceptions=True))
         self._note_delivered()
 
     def _note_no_response(self) -> None:
@@ -146,9 +152,8 @@
             2 * self.response_timeout_s, RESPONSE_TIMEOUT_S[1]
         )
 
-    async def _send(self, report: duties.Report) -> None:
+    async def _send(self, report: duties.Report, token: int) -> None:
         """Send one report at its turn, within the rate of the API."""
-        token = self.duty.record.token
         now = self.clock.monotonic()
         self.send_at = max(
             now, self.send_at + 1 / (self.calls_per_s * RATE_SHARE)
@@ -190,3 +195,10 @@
                 unsent=len(self.duty.unsent()),
             )
             self.failures = 0
+
+
+def _log_errors(results: abc.Iterable[object]) -> None:
+    """Log sends that have failed for an unexpected reason."""
+    for error in results:
+        if isinstance(error, Exception):
+            logger.error('usage: report failed', why=repr(error)[:200])
