--- a/tests/steps/test_mesh_teams.py
+++ b/tests/steps/test_mesh_teams.py
@@ -27,7 +27,7 @@
 import sys
 from pomelobend.mesh import starting
 import asyncio
-asyncio.run(starting.load_modules())
+asyncio.run(starting.load_modules(starting.MODULES))
 print(*(name for name in sys.modules if name.startswith('pomelobend.teams')))
 """
 
--- a/tests/steps/test_routing_sends.py
+++ b/tests/steps/test_routing_sends.py
@@ -137,7 +137,7 @@
         sends = sends_module.Sends()
         member = types.SimpleNamespace(node='n2')
         lookup = types.SimpleNamespace(
-            is_idempotent=True, is_nested=False, priority=0
+            is_idempotent=True, is_nested=False, priority=0, rank=0
         )
         for moment, send in (
             ('silence', lambda: delivery._try(lookup, member, sends)),
