Admission: the first waiting call is read from the heap

Each start of a waiting call sorted the whole queue to look at its first call. Order and behaviour are the same. Two docstrings are plainer.

--- a/pomelobend/admission/slots.py
+++ b/pomelobend/admission/slots.py
@@ -295,7 +295,7 @@
 
     def _may_start_next(self, now: float) -> bool:
         """Return whether the first call in the queue may start."""
-        first = self.queue.waiting_calls[0]
+        first = self.queue.first
         return self._may_start(first.priority, first.run_s, now)
 
     def _set_timer(self, now: float) -> None:
--- a/pomelobend/mesh/starting.py
+++ b/pomelobend/mesh/starting.py
@@ -249,7 +249,7 @@
 
 
 async def load_modules(names: abc.Iterable[str]) -> None:
-    """Load modules; read and reply between them."""
+    """Load modules; let the event loop serve connections between them."""
     for name in names:
         importlib.import_module(name)
         for _ in range(ROUNDS):
--- a/pomelobend/sockets.py
+++ b/pomelobend/sockets.py
@@ -39,7 +39,7 @@
 
 
 def has_input(transport: typing.Any) -> bool:
-    """Return whether bytes wait on an open connection; its end is none."""
+    """Return whether bytes wait, which the end of the stream is not."""
     return bool(_peek_if_open(transport))
 
 
