--- a/pomelobend/admission/reserve.py
+++ b/pomelobend/admission/reserve.py
@@ -47,8 +47,8 @@
     """Learns from their arrivals how many slots urgent calls need.
 
     Arrivals that are refused count as well. The mean is reserved, without an
-    addition for its spread: with one or two standard deviations more, calls
-    of low priority were starved and then raised before the urgent ones.
+    addition for its spread, which would starve calls of low priority so that
+    they are raised before the urgent ones.
 
     Parameters
     ----------
