--- a/review/loopback/deployment.py
+++ b/review/loopback/deployment.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -67,7 +69,6 @@
         self.backends: dict[str, backends.Backend] = {}
         self.nodes: dict[str, subprocess.Popen] = {}
         self.temporary = tempfile.TemporaryDirectory()
-        self.sockets: list[socket.socket] = []
 
     def note(self, *words: object) -> None:
         """Write a line to the record."""
@@ -336,12 +337,11 @@
 
 
 def _free_ports(count: int) -> list[int]:
+    """Return free ports that are not given to outgoing connections."""
     found = []
-    for _ in range(count):
-        item = socket.socket()
-        item.bind(('127.0.0.1', 0))
-        found.append(item)
-    ports = [item.getsockname()[1] for item in found]
-    for item in found:
-        item.close()
-    return ports
+    while len(found) < count:
+        port = random.randrange(11_000, 30_000)
+        with socket.socket() as item, contextlib.suppress(OSError):
+            item.bind(('127.0.0.1', port))
+            found.append(port)
+    return found
