--- a/review/loopback/deployment.py
+++ b/review/loopback/deployment.py
@@ -68,6 +68,7 @@
         self.settings: dict[str, pathlib.Path] = {}
         self.backends: dict[str, backends.Backend] = {}
         self.nodes: dict[str, subprocess.Popen] = {}
+        self.store_addresses: dict[str, str] = {}
         self.temporary = tempfile.TemporaryDirectory()
 
     def note(self, *words: object) -> None:
@@ -270,7 +271,9 @@
             'platform': {
                 'beat_interval_ms': 1500,
                 'platform': {
-                    'address': self.store.address,
+                    'address': self.store_addresses.get(
+                        name, self.store.address
+                    ),
                     'form': 'objects',
                     'writes_per_s': 400,
                     'reads_per_s': 2000,
