Tests: what clients send is a module of its own

Change: the senders move to client_kinds.py, with the request as a typed object; clients are disconnected at the end of a scenario, which leaves no writers behind. No check, crowd or bound changes.

--- a/tests/steps/test_mesh_clients.py
+++ b/tests/steps/test_mesh_clients.py
@@ -13,9 +13,13 @@
 
 from standins import fleet
 from standins import mesh
+from tests.steps import client_kinds
 from tests.steps import test_mesh_endless as endless_steps
 from tests.steps import test_mesh_path as path_steps
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 KB = 1024
 MB = 1024 * 1024
 
@@ -26,17 +30,6 @@
 OWN = '/booking/a'
 """Path of the requests to the target in that VM."""
 
-BODY_BYTES = 4 * MB
-"""Size of a large body of the clients; the limit of the configuration."""
-
-SMALL_BODY_BYTES = 48 * KB
-TINY_CHUNKS_BYTES = 512 * KB
-PIECE_BYTES = 16 * KB
-PIECE_PAUSE_S = 0.002
-SHORT_HEAD_BYTES = 15 * KB
-"""Size of a head that stays within the limit of 16 KiB and has no end."""
-
-DEADLINE_MS = 8000
 ANSWER_S = 4.0
 """Time in which one of the ordinary requests, sent one after the other, is
 answered. It is shorter than the limits after which clients are disconnected:
@@ -47,130 +40,6 @@
 SINGLE_S = 30.0
 CONNECTS_AT_ONCE = 40
 
-POST = (
-    'POST {path} HTTP/1.1\r\nHost: bells.example\r\n'
-    'X-Attempt-Id: {identity}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
-    'X-Answer-Short: 1\r\n{framing}\r\n\r\n'
-)
-GET = (
-    'GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {identity}\r\n'
-    'X-Deadline-Ms: 4000\r\n{more}\r\n'
-)
-
-
-def _post(identity: str, framing: str, path: str = path_steps.LOOKUP) -> bytes:
-    return POST.format(
-        path=path, identity=identity, deadline_ms=DEADLINE_MS, framing=framing
-    ).encode()
-
-
-def _get(
-    identity: str,
-    path: str = path_steps.LOOKUP,
-    host: str = 'bells.example',
-    more: str = '',
-) -> bytes:
-    return GET.format(
-        path=path, identity=identity, host=host, more=more
-    ).encode()
-
-
-def _announced(identity: str, size: int) -> bytes:
-    return _post(identity, f'Content-Length: {size}')
-
-
-def _chunked(identity: str, path: str = path_steps.LOOKUP) -> bytes:
-    return _post(identity, 'Transfer-Encoding: chunked', path)
-
-
-def _small_chunks(size: int) -> bytes:
-    return b'2\r\nbb\r\n' * (size // 2)
-
-
-async def _send_nothing(writer: asyncio.StreamWriter, identity: str) -> None:
-    return
-
-
-async def _send_one_request(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    writer.write(_get(identity))
-
-
-async def _send_long_head(writer: asyncio.StreamWriter, identity: str) -> None:
-    writer.write(_get(identity, more='X-Long: ' + 'v' * 64 * KB))
-
-
-async def _send_part_of_head(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    writer.write(_get(identity, more='X-Long: ')[:-2])
-    for _ in range(SHORT_HEAD_BYTES // KB):
-        writer.write(b'v' * KB)
-        await writer.drain()
-        await asyncio.sleep(PIECE_PAUSE_S)
-
-
-async def _send_empty_lines(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    for _ in range(64):
-        writer.write(b'\r\n' * 8 * KB)
-        await writer.drain()
-        await asyncio.sleep(PIECE_PAUSE_S)
-
-
-async def _send_body(writer: asyncio.StreamWriter, identity: str) -> None:
-    writer.write(_announced(identity, BODY_BYTES))
-    writer.write(bytes(BODY_BYTES - 1))
-
-
-async def _send_pieces(writer: asyncio.StreamWriter, identity: str) -> None:
-    writer.write(_announced(identity, BODY_BYTES))
-    for _ in range(BODY_BYTES // PIECE_BYTES - 1):
-        writer.write(bytes(PIECE_BYTES))
-        await writer.drain()
-        await asyncio.sleep(PIECE_PAUSE_S)
-    writer.write(bytes(PIECE_BYTES - 1))
-
-
-async def _send_large_chunks(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    chunk = b'%x\r\n%b\r\n' % (64 * KB, bytes(64 * KB))
-    writer.write(_chunked(identity))
-    for _ in range(BODY_BYTES // (64 * KB) - 1):
-        writer.write(chunk)
-        await writer.drain()
-    writer.write(chunk[:-3])
-
-
-async def _send_small_chunks(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    writer.write(_chunked(identity) + _small_chunks(TINY_CHUNKS_BYTES)[:-3])
-
-
-async def _send_small_body(
-    writer: asyncio.StreamWriter, identity: str
-) -> None:
-    writer.write(_announced(identity, SMALL_BODY_BYTES))
-    writer.write(bytes(SMALL_BODY_BYTES - 1))
-
-
-KINDS = {
-    'nothing': _send_nothing,
-    'one request, then nothing': _send_one_request,
-    'a head over the limit': _send_long_head,
-    'a head that ends short of the limit': _send_part_of_head,
-    'empty lines without end': _send_empty_lines,
-    'a body at once but for its last byte': _send_body,
-    'a body in pieces but for its last byte': _send_pieces,
-    'large chunks but for the last byte': _send_large_chunks,
-    'small chunks but for the last byte': _send_small_chunks,
-    'a small body but for its last byte': _send_small_body,
-}
-
 
 @behave.given(
     'two VMs whose nodes may use {megabytes:d} MB and {descriptors:d} '
@@ -182,9 +51,9 @@
     )
     configuration = mesh.configuration(2)
     if megabytes < 200:
-        configuration['limits']['max_body_bytes'] = BODY_BYTES
+        configuration['limits']['max_body_bytes'] = client_kinds.BODY_BYTES
     for rule in configuration['listeners'][0]['rules']:
-        rule['action']['timeout_ms'] = DEADLINE_MS
+        rule['action']['timeout_ms'] = client_kinds.DEADLINE_MS
 
     async def start() -> None:
         context.fleet = await context.stack.enter_async_context(
@@ -203,33 +72,60 @@
     context.descriptors = descriptors
     context.clients = []
     context.run(start())
+    context.stack.callback(disconnect, context)
+
+
+def disconnect(context: typing.Any) -> None:
+    """Abort the connections of the clients."""
+    for _, writer in context.clients:
+        writer.transport.abort()
+    context.clients.clear()
 
 
 @behave.when('{count:d} clients connect to a node: {kind}')
 def when_clients(context: typing.Any, count: int, kind: str) -> None:
-    context.run(_connect(context, count, kind, 'outbound'))
+    context.run(connect(context, count, kind))
 
 
 @behave.when('{count:d} clients connect to the {port} port of a node: {kind}')
 def when_clients_of_port(
     context: typing.Any, count: int, port: str, kind: str
 ) -> None:
-    context.run(_connect(context, count, kind, port))
+    context.run(connect(context, count, kind, port))
 
 
-async def _connect(
-    context: typing.Any, count: int, kind: str, port: str
+async def connect(
+    context: typing.Any,
+    count: int,
+    kind: str,
+    port: str = 'outbound',
+    name: str = NAME,
+    build: abc.Callable[[int], client_kinds.Request] | None = None,
 ) -> None:
-    """Open connections, send what the kind says, and leave them open."""
-    address = context.mesh.vms[NAME].addresses[port]
+    """Open connections, send what the kind says, and leave them open.
+
+    Parameters
+    ----------
+    context : behave context
+    count : int
+    kind : str
+        A name in ``client_kinds.SENDERS``.
+    port : str
+    name : str
+        The VM of the node to which the clients connect.
+    build : callable or None
+        Returns the request of a client from its number.
+    """
+    address = context.mesh.vms[name].addresses[port]
     gate = asyncio.Semaphore(CONNECTS_AT_ONCE)
+    build = build or (lambda number: client_kinds.Request(f'c-{number}'))
 
     async def act(number: int) -> None:
         async with gate:
             with contextlib.suppress(OSError):
                 reader, writer = await _open(address)
                 context.clients.append((reader, writer))
-                await KINDS[kind](writer, f'c-{number}')
+                await client_kinds.SENDERS[kind](writer, build(number))
 
     await asyncio.gather(*map(act, range(count)))
     await asyncio.sleep(SETTLE_S)
@@ -269,7 +165,7 @@
                     for answer in range(answers)
                 )
             )
-            await _connect(context, count, kind, 'outbound')
+            await connect(context, count, kind)
             await endless
 
     context.run(act())
@@ -294,18 +190,20 @@
 )
 def then_answered(context: typing.Any) -> None:
     address = context.mesh.vms[NAME].addresses['outbound']
-    request = _get('ordinary', more='Connection: close\r\n')
-    context.run(_until_answered(address, request))
+    request = client_kinds.get('ordinary', more='Connection: close\r\n')
+    context.run(until_answered(address, request))
 
 
 @behave.then('the ready port answers a new request while the clients stay')
 def then_ready(context: typing.Any) -> None:
     address = context.mesh.vms[NAME].addresses['ready']
-    request = _get('ready', '/ready', address, 'Connection: close\r\n')
-    context.run(_until_answered(address, request))
+    request = client_kinds.get(
+        'ready', '/ready', address, 'Connection: close\r\n'
+    )
+    context.run(until_answered(address, request))
 
 
-async def _until_answered(address: str, request: bytes) -> None:
+async def until_answered(address: str, request: bytes) -> None:
     """Send a request, each time on a new connection, until it gets 200."""
     lines = []
     ends_at = asyncio.get_running_loop().time() + ANSWER_S
@@ -337,10 +235,13 @@
 ) -> None:
     path = OWN if where == 'own' else path_steps.LOOKUP
     length = size * KB
+    request = client_kinds.Request('single', path)
     data = (
-        _post('single', f'Content-Length: {length}', path) + bytes(length)
+        client_kinds.announced(request, length) + bytes(length)
         if how == 'in one piece'
-        else _chunked('single', path) + _small_chunks(length) + b'0\r\n\r\n'
+        else client_kinds.chunked(request)
+        + client_kinds.small_chunks(length)
+        + b'0\r\n\r\n'
     )
 
     async def act() -> bytes:
