HTTP: pipelined requests take turns, as they held up the node

Callers saw: no answer for seconds while a client pipelined requests, at any of the four ports for HTTP (12 s and more with 20 clients); other nodes gave the node up, and SIGTERM did not end it within 12 s. Cause: a connection processes its requests one after the other in one task. A reply that needs no waiting (a refusal, a page of metrics, a readiness check, a lookup whose deadline has passed) never gives way to the event loop, so all that was read of a connection, up to 256 KiB or some thousand requests, was answered in one round. Traced by sampling the stack while the loop was late: 297 of 300 samples of 60 clients with unread lookups lay in _serve, 277 of them in the check whether the caller has left. First requests, and those that follow a reply, wait for nothing.

--- a/pomelobend/http/replying.py
+++ b/pomelobend/http/replying.py
@@ -55,6 +55,8 @@
                 if not await self._write(reply, is_keep_alive=is_keep_alive):
                     return
                 del reply
+                if self.queue:
+                    await self.server.request_turns.wait()
         finally:
             self.task = None
             self.is_running = False
