Memory: the choice of what to give up looks at no whole requests

Callers saw: no answer for 7 to 9 s, then 503 (no-target), while 300 to 600 clients of a node with 80 MB had pipelined small requests behind a slow one. Cause: with the budget full, each further request looks for one to give up among all holdings, also those of whole requests, which are never given up. With 13,000 of these a look took some 15 ms, and each round of the event loop made one: new connections, of which a round accepts one, waited for seconds, the target's heartbeats with them. Traced: 40 rounds in 0.5 s instead of 200,000, 7 bodies given up in 0.1 s, connections opened 7 s late. Change: only what can be given up is a candidate. Evidence: the new scenario of test_memory_budget failed before (1,000 requests looked at, and the body).

--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -148,8 +148,7 @@
         self.is_growing = False
         self.on_give_up = on_give_up
         self.budget.ungroup(self)
-        if on_give_up is not None:
-            self.budget.holdings.add(self)
+        self.budget.note_candidate(self)
         if place is not None:
             self.budget.move(self, place)
 
@@ -269,6 +268,17 @@
             holding.group.size -= holding.size
             holding.group = None
 
+    def note_candidate(self, holding: Holding) -> None:
+        """Note whether a holding may be given up for others.
+
+        A whole request that waits to be processed may not. There can be tens
+        of thousands of them, and each choice looks at all candidates.
+        """
+        if holding.is_growing or holding.on_give_up is not None:
+            self.holdings.add(holding)
+        else:
+            self.holdings.discard(holding)
+
     def hold(self, place: Place, size: int) -> Holding:
         """Return a holding for a body that is whole already.
 
@@ -339,7 +349,7 @@
         if holding.group is not None:
             holding.group.size += size
         if holding.size > SMALL_BYTES:
-            self.holdings.add(holding)
+            self.note_candidate(holding)
         self.taken_bytes += size
         self.used_bytes += size
         self.by_place[holding.place] += size
--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -86,3 +86,10 @@
     Given a budget of 16 MB with 100 bodies of 50 KB
     When a body of 1024 bytes grows by 33554432
     Then the failure tells a body of 33555456 bytes
+
+  # Guards against a choice among all requests that wait, made again for each
+  # further one.
+  Scenario: requests that wait to be processed are not looked at for room
+    Given a budget of 16 MB that 1000 whole requests of 4 KB wait in
+    When a body grows to 3 MB
+    Then only 1 body was looked at for room
--- a/tests/steps/test_memory_budget.py
+++ b/tests/steps/test_memory_budget.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import gc
+import itertools
 import typing
 
 import behave
@@ -70,6 +71,59 @@
     ]
 
 
+def _waiting(budget: budgets.Budget, size: int) -> budgets.Holding:
+    """Return the holding of a whole request that waits."""
+    holding = budget.open_request(lambda: None, budgets.Group())
+    holding.grow(size)
+    holding.complete()
+    return holding
+
+
+@behave.given(
+    'a budget of {size:d} MB that {count:d} whole requests of {each:d} KB '
+    'wait in'
+)
+def given_waiting(
+    context: typing.Any, size: int, count: int, each: int
+) -> None:
+    context.budget = budgets.Budget(size * MB)
+    context.held = [_waiting(context.budget, each * KB) for _ in range(count)]
+
+
+@behave.then('only {count:d} body was looked at for room')
+def then_looked_at(context: typing.Any, count: int) -> None:
+    assert len(context.budget.holdings) == count, context.budget.holdings
+
+
+@behave.given(
+    'a budget of {size:d} MB that small requests fill and {count:d} '
+    'connections exceed'
+)
+def given_exceeded(context: typing.Any, size: int, count: int) -> None:
+    context.budget = budgets.Budget(size * MB)
+    context.held = []
+    with contextlib.suppress(errors.MemoryFullError):
+        for _ in itertools.count():
+            context.held.append(_waiting(context.budget, KB))
+    context.budget.connections = count
+    assert context.budget.total_bytes > context.budget.max_bytes
+
+
+@behave.when('{count:d} answers of {size:d} KB are received')
+def when_answers(context: typing.Any, count: int, size: int) -> None:
+    context.received = [
+        context.budget.open(budgets.Place.ANSWERS) for _ in range(count)
+    ]
+    for holding in context.received:
+        _grow(holding, size * KB)
+
+
+@behave.when('a further small request comes')
+def when_small_request(context: typing.Any) -> None:
+    context.body = context.budget.open_request(lambda: None, budgets.Group())
+    _grow(context.body, KB)
+
+
 @behave.given('a budget of {size:d} MB that bodies in reference cycles fill')
 def given_cycles(context: typing.Any, size: int) -> None:
     context.budget = budgets.Budget(size * MB)
