Memory: answers displace pipelined requests that were not begun

Cause: small requests may fill the whole budget, each connection with some 150 of them, as a slice of input holds that many. No answer has room then, and whole requests are never given up. Change: if nothing else makes room for an answer or a reply, requests that wait behind others of their connections are refused with 503, the newest first. None of them has been begun, so the refusal is true. Evidence: test_http_pipelining 'answers find room' failed before in both loops (60 of 60 first requests got 502), as did the scenario of test_memory_budget; both hold now.

--- a/pomelobend/http/receiving.py
+++ b/pomelobend/http/receiving.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import contextlib
+import typing
+import weakref
 
 import httptools
 
 from pomelobend import errors
 from pomelobend.http import incoming as incoming_module
 from pomelobend.http import message
+from pomelobend.http import replying
 from pomelobend.memory import budget as budgets
 from pomelobend.memory import eviction
 from pomelobend import turns
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 MAX_PIPELINED = 8
 """Queued requests of a connection above which reading from it pauses."""
 
@@ -325,6 +331,10 @@
         self.queue.append(request)
         if self.task is None:
             self.task = asyncio.create_task(self._serve())
+        elif request.holding is not None:
+            self.server.budget.queued.add(
+                request.holding, _refuse_if_alive(request)
+            )
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body until its slice is parsed."""
@@ -442,3 +452,15 @@
             raise errors.RequestMalformedError(
                 431, 'request head exceeds the size limit'
             )
+
+
+def _refuse_if_alive(request: message.Request) -> abc.Callable[[], None]:
+    """Return what refuses a request, without a reference to it."""
+    reference = weakref.ref(request)
+
+    def refuse() -> None:
+        request = reference()
+        if request is not None:
+            request.refuse(replying.refusal(503))
+
+    return refuse
--- a/pomelobend/http/replying.py
+++ b/pomelobend/http/replying.py
@@ -42,7 +42,7 @@
         """Process queued requests in order."""
         try:
             while self.queue:
-                request = self.queue.popleft()
+                request = self._take_request()
                 self.is_running = True
                 if self.is_paused or self.backlog:
                     self._go_on()
@@ -62,6 +62,13 @@
             self.is_running = False
             self._begin_period()
 
+    def _take_request(self) -> message.Request:
+        """Return the next request, which is begun now."""
+        request = self.queue.popleft()
+        if request.holding is not None:
+            self.server.budget.queued.remove(request.holding)
+        return request
+
     async def _wait_if_left(self) -> None:
         """Wait for the first check of a caller whose stream has ended.
 
--- a/pomelobend/memory/budget.py
+++ b/pomelobend/memory/budget.py
@@ -21,6 +21,7 @@
 
 from pomelobend import errors
 from pomelobend.memory import eviction
+from pomelobend.memory import queued as queued_module
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -178,6 +179,8 @@
     holdings : WeakSet of Holding
         Those that may be given up for others: of large bodies, and of
         whole ones that their receivers don't take.
+    queued : QueuedRequests
+        Whole requests that may be refused for answers.
     collect_garbage : callable
         Frees what calls that failed have left in reference cycles, such as
         those of errors and the frames in their tracebacks. The interpreter
@@ -199,6 +202,9 @@
         factory=collections.Counter
     )
     holdings: weakref.WeakSet[Holding] = attrs.field(factory=weakref.WeakSet)
+    queued: queued_module.QueuedRequests = attrs.field(
+        factory=queued_module.QueuedRequests
+    )
     collect_garbage: abc.Callable[[], object] = gc.collect
     taken_bytes: int = 0
     connections: int = 0
@@ -318,12 +324,15 @@
         that is being received, but not a request while all of them are within
         their share: many answers without end don't displace one. A small body
         may also displace one that is whole, if its receiver doesn't take it.
+        An answer or a reply then displaces requests that were not begun.
         """
         self._add(holding, size)
         if not self._has_room(holding):
             self._reclaim()
         while not self._has_room(holding) and not holding.is_given_up:
-            self._give_up(self._victim(holding))
+            victim = self._victim(holding)
+            if victim is not holding or not self._refuse_queued(holding):
+                self._give_up(victim)
 
     def move(self, holding: Holding, place: Place) -> None:
         """Note that the bytes of a holding are in another place now."""
@@ -406,6 +415,22 @@
             return answers
         return found
 
+    def _refuse_queued(self, holding: Holding) -> bool:
+        """Refuse queued requests for an answer; return whether it has room."""
+        if holding.place in REQUEST_PLACES:
+            return False
+        count = 0
+        while not self._has_room(holding):
+            refused = self.queued.refuse_newest()
+            if refused is None:
+                break
+            self.given_up[refused.place] += 1
+            self.free(refused)
+            count += 1
+        if count:
+            logger.warning('memory: queued requests are refused', count=count)
+        return self._has_room(holding)
+
     def _give_up(self, holding: Holding) -> None:
         logger.warning(
             'memory: a body is given up',
--- a/tests/http/test_http_pipelining.feature
+++ b/tests/http/test_http_pipelining.feature
@@ -24,3 +24,20 @@
     Given an HTTP server that counts its replies in each round of the event loop
     When 30 clients send 100 requests each at once and leave
     Then no request waits for a turn, and no connection is left
+
+  # Guards against calls that have run and whose answers find no room, as
+  # requests that were not begun fill the memory.
+  Scenario Outline: answers find room beside pipelined requests, <loop>
+    Given an HTTP server with a budget of 4 MB that holds answers of 20 KB
+    When 60 clients send 300 requests each before the first is answered
+    Then the first request of each client is answered with 200
+    And all others that are answered get 200 or 503
+
+    Examples: of asyncio
+      | loop    |
+      | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | loop   |
+      | uvloop |
--- a/tests/memory/test_memory_budget.feature
+++ b/tests/memory/test_memory_budget.feature
@@ -93,3 +93,13 @@
     Given a budget of 16 MB that 1000 whole requests of 4 KB wait in
     When a body grows to 3 MB
     Then only 1 body was looked at for room
+
+  # Guards against calls that have run and whose replies find no room, as
+  # small requests and connections fill the budget.
+  Scenario: answers displace small requests that were not begun
+    Given a budget of 16 MB that small requests fill and 500 connections exceed
+    When 5 answers of 60 KB are received
+    Then none of them is given up
+    And the requests that came last made room for them, and no more than that
+    When a further small request comes
+    Then it is given up, and no other
--- a/tests/steps/test_http_pipelining.py
+++ b/tests/steps/test_http_pipelining.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import collections
+import itertools
 import typing
 
 import attrs
 import behave
 
 from pomelobend import clock as clocks
+from pomelobend import errors
 from pomelobend.http import message
 from pomelobend.http import server as servers
+from pomelobend.memory import budget as budgets
 from standins import fleet
+from tests.steps import test_http_memory as memory_steps
 from tests.steps import test_http_server as server_steps
 
 REPLIES_S = 20.0
@@ -140,3 +144,94 @@
 
     context.run(act())
     assert not context.server.request_turns.waiting
+
+
+@attrs.define(eq=False)
+class HoldingHandler:
+    """Replies with answers that the budget holds, once it may.
+
+    Parameters
+    ----------
+    answer_bytes : int
+    may_answer : asyncio.Event
+    budget : Budget
+    """
+
+    answer_bytes: int
+    may_answer: asyncio.Event
+    budget: budgets.Budget
+
+    async def answer(self, request: message.Request) -> message.Reply:
+        """Reply with 502 if there is no memory for an answer."""
+        await self.may_answer.wait()
+        holding = self.budget.open(budgets.Place.ANSWERS)
+        try:
+            holding.grow(self.answer_bytes)
+        except errors.MemoryFullError:
+            return message.Reply(502)
+        holding.complete()
+        return message.Reply(200, [], bytes(self.answer_bytes), holding)
+
+
+@behave.given(
+    'an HTTP server with a budget of {size:d} MB that holds answers of '
+    '{each:d} KB'
+)
+def given_holding_server(context: typing.Any, size: int, each: int) -> None:
+    context.may_answer = asyncio.Event()
+    context.handler = HoldingHandler(
+        each * memory_steps.KB,
+        context.may_answer,
+        budgets.Budget(size * memory_steps.MB),
+    )
+    memory_steps.start_server(
+        context, context.handler.answer, size * memory_steps.MB
+    )
+    context.handler.budget = context.server.budget
+
+
+@behave.when(
+    '{clients:d} clients send {requests:d} requests each before the first is '
+    'answered'
+)
+def when_filled(context: typing.Any, clients: int, requests: int) -> None:
+    async def act() -> None:
+        opened = [await server_steps.connect(context) for _ in range(clients)]
+        for _, writer in opened:
+            writer.write(_pipelined(requests))
+        await asyncio.sleep(memory_steps.SETTLE_S)
+        context.may_answer.set()
+        context.statuses = await asyncio.gather(
+            *(_statuses(reader, requests) for reader, _ in opened)
+        )
+        for _, writer in opened:
+            writer.transport.abort()
+
+    context.run(act())
+
+
+async def _statuses(reader: asyncio.StreamReader, count: int) -> list[bytes]:
+    """Return the statuses of replies, at most until the connection ends."""
+    found = []
+    async with asyncio.timeout(REPLIES_S):
+        while len(found) < count:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            found.append(head.split()[1])
+            _, _, length = head.lower().partition(b'content-length: ')
+            await reader.readexactly(int(length.split()[0]))
+    return found
+
+
+@behave.then('the first request of each client is answered with 200')
+def then_first_answered(context: typing.Any) -> None:
+    found = collections.Counter(item[0] for item in context.statuses)
+    assert found == {b'200': len(context.statuses)}, found
+
+
+@behave.then('all others that are answered get 200 or 503')
+def then_others_answered(context: typing.Any) -> None:
+    found = collections.Counter(itertools.chain(*context.statuses))
+    assert set(found) <= {b'200', b'503'}, found
--- a/tests/steps/test_memory_budget.py
+++ b/tests/steps/test_memory_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import gc
 import itertools
 import typing
@@ -105,6 +106,10 @@
     with contextlib.suppress(errors.MemoryFullError):
         for _ in itertools.count():
             context.held.append(_waiting(context.budget, KB))
+    context.refused = []
+    for number, holding in enumerate(context.held):
+        refuse = functools.partial(context.refused.append, number)
+        context.budget.queued.add(holding, refuse)
     context.budget.connections = count
     assert context.budget.total_bytes > context.budget.max_bytes
 
@@ -118,6 +123,17 @@
         _grow(holding, size * KB)
 
 
+@behave.then(
+    'the requests that came last made room for them, and no more than that'
+)
+def then_displaced(context: typing.Any) -> None:
+    count = len(context.refused)
+    total = len(context.held)
+    assert context.refused == list(range(total - 1, total - count - 1, -1))
+    free = context.budget.max_bytes - context.budget.total_bytes
+    assert 0 <= free < KB, free
+
+
 @behave.when('a further small request comes')
 def when_small_request(context: typing.Any) -> None:
     context.body = context.budget.open_request(lambda: None, budgets.Group())
