Peers: what a connection may send before its greeting is limited

Callers saw: nothing yet, but 30 strangers at the port for other nodes took a node with 80 MB to 105 MB, for which it is killed. Cause: the WebSocket library collects a message of up to 2 MiB before it passes it on, whoever sends it, and no budget counts that. Change: a connection of which no greeting has come ends after 16 KiB. If a message has come with them, which may be the greeting, reading pauses until that is known, so that calls right behind a greeting are not cut.

--- a/pomelobend/peers/pending.py
+++ b/pomelobend/peers/pending.py
@@ -1,8 +1,9 @@
 """Connections at the address for other nodes before their greeting.
 
 Whoever reaches the address can open one; only a greeting tells that a node is
-at its other end. Until then the number of connections is limited, as the
-WebSocket library counts none.
+at its other end. Until then the number of connections is limited, and what
+each of them may send: the WebSocket library collects a message of any allowed
+size, and counts no connections.
 """
 
 from __future__ import annotations
@@ -27,6 +28,9 @@
 
 logger = structlog.get_logger('peers')
 
+GREETING_BYTES = 16 * 1024
+"""Size of what a connection may send before its greeting."""
+
 UPGRADE_S = 5.0
 """Time in which a connection has to become a WebSocket."""
 
@@ -119,7 +123,7 @@
 
 
 class PendingProtocol(asyncio.BufferedProtocol):
-    """Passes on what a connection sends until its greeting.
+    """Passes on what a connection sends, up to a limit, until its greeting.
 
     Parameters
     ----------
@@ -139,6 +143,7 @@
         self.create_link = create_link
         self.link: links.Link | None = None
         self.transport: typing.Any = None
+        self.received_bytes = 0
         self.websocket = _websocket(self._open_link, max_message_bytes)
 
     def connection_made(self, transport: typing.Any) -> None:
@@ -157,8 +162,20 @@
         return self.websocket.get_buffer(sizehint)
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Pass on received bytes."""
+        """Pass on received bytes; end the connection if they are too many.
+
+        What follows a first message is not read until that is known to be a
+        greeting.
+        """
+        self.received_bytes += nbytes
         self.websocket.buffer_updated(nbytes)
+        if self.received_bytes <= GREETING_BYTES:
+            return
+        if self.link is not None and self.link.inbox:
+            self.transport.pause_reading()
+        else:
+            logger.warning('peers: too many bytes before a greeting')
+            self.pending.drop(self, 'too-large')
 
     def eof_received(self) -> bool | None:
         """Pass on the end of the stream."""
@@ -190,6 +207,7 @@
         """Let the WebSocket read alone, as its greeting has come."""
         self.pending.remove(self)
         self.transport.set_protocol(self.websocket)
+        self.transport.resume_reading()
 
 
 def _websocket(
--- a/tests/peers/test_peers_pending.feature
+++ b/tests/peers/test_peers_pending.feature
@@ -41,3 +41,28 @@
     Examples: of uvloop
       | loop   |
       | uvloop |
+
+  # Guards against memory that strangers fill with parts of messages.
+  Scenario Outline: <what> of a stranger <end>, <loop>
+    Given an address for other nodes at which 8 connections may wait
+    When a stranger sends <what>
+    Then the connection of that stranger <end>
+
+    Examples: of asyncio
+      | what                                    | end              | loop    |
+      | 100 KiB of a message                    | ends             | asyncio |
+      | 1 KiB of a message                      | stays for 0.3 s  | asyncio |
+      | a message, then 100 KiB of another one  | ends             | asyncio |
+
+    @uvloop
+    Examples: of uvloop
+      | what                                    | end              | loop   |
+      | 100 KiB of a message                    | ends             | uvloop |
+      | 1 KiB of a message                      | stays for 0.3 s  | uvloop |
+      | a message, then 100 KiB of another one  | ends             | uvloop |
+
+  # Guards against calls that follow a greeting and are cut with it.
+  Scenario: 200 KiB that follow a greeting at once arrive
+    Given an address for other nodes at which 8 connections may wait
+    When a node greets and sends 200 KiB with it
+    Then all of it arrives
--- a/tests/steps/client_kinds.py
+++ b/tests/steps/client_kinds.py
@@ -127,6 +127,11 @@
     return b'2\r\nbb\r\n' * (size // 2)
 
 
+def message_head(size: int) -> bytes:
+    """Return the head of a message between nodes of a size."""
+    return MESSAGE_HEAD % size.to_bytes(8, 'big')
+
+
 async def _send_nothing(
     writer: asyncio.StreamWriter, request: Request
 ) -> None:
@@ -257,8 +262,7 @@
 async def _send_message(
     writer: asyncio.StreamWriter, request: Request
 ) -> None:
-    size = MESSAGE_BYTES.to_bytes(8, 'big')
-    writer.write(UPGRADE + MESSAGE_HEAD % size)
+    writer.write(UPGRADE + message_head(MESSAGE_BYTES))
     writer.write(bytes(MESSAGE_BYTES - request.missing))
 
 
--- a/tests/steps/test_peers_pending.py
+++ b/tests/steps/test_peers_pending.py
@@ -3,17 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import datetime
 import typing
 
 import attrs
 import behave
 
 from pomelobend.metrics import counters
+from pomelobend.peers import codec
+from pomelobend.peers import link as links
+from pomelobend.peers import options
 from pomelobend.peers import pending
 from standins import fleet
+from tests.steps import client_kinds
 from tests.steps import test_peers_pool as pool_steps
 
+KIB = 1024
+MIB = 1024 * KIB
 SETTLE_S = 0.3
+HANDSHAKE_TIMEOUT = datetime.timedelta(seconds=30)
 GREETED_S = 3.0
 POSITIONS = {'the oldest': 0, 'the third': 2, 'the new one': -1}
 
@@ -91,6 +100,9 @@
 def given_address(context: typing.Any, count: int) -> None:
     context.address = f'127.0.0.1:{fleet.free_ports(1)[0]}'
     context.pool = pool_steps.open_pool('vik-0', context.address)
+    context.pool.options = attrs.evolve(
+        context.pool.options, connect=HANDSHAKE_TIMEOUT
+    )
     context.pool.pending = pending.PendingConnections(
         count, context.pool.clock, counters.Counters()
     )
@@ -141,3 +153,68 @@
         assert len(opened) == count
 
     context.run(act())
+
+
+STRANGERS = {
+    '100 KiB of a message': client_kinds.message_head(MIB) + bytes(100 * KIB),
+    '1 KiB of a message': client_kinds.message_head(MIB) + bytes(KIB),
+    'a message, then 100 KiB of another one': (
+        client_kinds.message_head(1)
+        + b'x'
+        + client_kinds.message_head(MIB)
+        + bytes(100 * KIB)
+    ),
+}
+
+
+@behave.when('a stranger sends {what}')
+def when_stranger(context: typing.Any, what: str) -> None:
+    host, _, port = context.address.partition(':')
+
+    async def act() -> None:
+        opened = await asyncio.open_connection(host, int(port))
+        context.strangers = [opened]
+        opened[1].write(client_kinds.UPGRADE + STRANGERS[what])
+
+    context.run(act())
+    context.stack.callback(_abort, context.strangers)
+
+
+@behave.then('the connection of that stranger {end}')
+def then_end(context: typing.Any, end: str) -> None:
+    ((reader, _),) = context.strangers
+
+    async def act() -> bool:
+        wait_s = SETTLE_S if end.startswith('stays') else GREETED_S
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(wait_s):
+                await reader.read()
+                return True
+        return reader.exception() is not None
+
+    has_ended = context.run(act())
+    assert has_ended == (end == 'ends'), has_ended
+
+
+@behave.when('a node greets and sends {size:d} KiB with it')
+def when_greets(context: typing.Any, size: int) -> None:
+    hello = pool_steps.open_pool('vik-1', '').hello
+
+    async def act() -> None:
+        link = await links.Link.connect(
+            context.address, options.MESSAGE_BYTES, GREETED_S
+        )
+        context.stack.callback(link.abort)
+        link.send(codec.encode(hello))
+        start = attrs.evolve(pool_steps.call_start(1), body=bytes(size * KIB))
+        link.send(codec.encode(start))
+        async with asyncio.timeout(GREETED_S):
+            await pool_steps.until(lambda: context.pool.in_flight)
+
+    context.run(act())
+
+
+@behave.then('all of it arrives')
+def then_arrives(context: typing.Any) -> None:
+    assert context.pool.traffic.received > 200 * KIB
+    assert context.pool.in_flight == 1
