Peers: pending connections keep no reference cycle, and pause at their limit

Found in reading the change as a whole: the wrapped protocol and the wrapper referred to each other, so that an ended connection stayed until the garbage collector came by; a greeting that is read after its connection has ended would have set no protocol; and what came in the same event after the limit was still collected. Change: both references are dropped at the end and at the greeting, the second case returns, and reading pauses with the drop. The new scenario (nodes that greet and leave at once) guards; it passes without the check too, so the second case is only read, not shown.

--- a/pomelobend/peers/pending.py
+++ b/pomelobend/peers/pending.py
@@ -144,7 +144,9 @@
         self.link: links.Link | None = None
         self.transport: typing.Any = None
         self.received_bytes = 0
-        self.websocket = _websocket(self._open_link, max_message_bytes)
+        self.websocket: picows.WSProtocol | None = _websocket(
+            self._open_link, max_message_bytes
+        )
 
     def connection_made(self, transport: typing.Any) -> None:
         """Store the transport; one connection may be too many."""
@@ -156,6 +158,7 @@
         """Forget the connection."""
         self.pending.remove(self)
         self.websocket.connection_lost(exc)
+        self._release()
 
     def get_buffer(self, sizehint: int) -> typing.Any:
         """Return the buffer into which the next bytes are read."""
@@ -171,9 +174,8 @@
         self.websocket.buffer_updated(nbytes)
         if self.received_bytes <= GREETING_BYTES:
             return
-        if self.link is not None and self.link.inbox:
-            self.transport.pause_reading()
-        else:
+        self.transport.pause_reading()
+        if self.link is None or not self.link.inbox:
             logger.warning('peers: too many bytes before a greeting')
             self.pending.drop(self, 'too-large')
 
@@ -204,10 +206,20 @@
         return self.link
 
     def _end_limits(self) -> None:
-        """Let the WebSocket read alone, as its greeting has come."""
+        """Let the WebSocket read alone, as its greeting has come.
+
+        The connection may have ended before that was read.
+        """
         self.pending.remove(self)
+        if self.websocket is None:
+            return
         self.transport.set_protocol(self.websocket)
         self.transport.resume_reading()
+        self._release()
+
+    def _release(self) -> None:
+        """Drop the references that would form a cycle with this object."""
+        self.websocket = self.link = None
 
 
 def _websocket(
--- a/tests/peers/test_peers_pending.feature
+++ b/tests/peers/test_peers_pending.feature
@@ -66,3 +66,9 @@
     Given an address for other nodes at which 8 connections may wait
     When a node greets and sends 200 KiB with it
     Then all of it arrives
+
+  # Guards against a greeting that is read after its connection has ended.
+  Scenario: a node that greets and leaves at once is forgotten
+    Given an address for other nodes at which 8 connections may wait
+    When 5 nodes greet and leave at once
+    Then no connection is left, and no error was noted
--- a/tests/steps/test_peers_pending.py
+++ b/tests/steps/test_peers_pending.py
@@ -218,3 +218,34 @@
 def then_arrives(context: typing.Any) -> None:
     assert context.pool.traffic.received > 200 * KIB
     assert context.pool.in_flight == 1
+
+
+@behave.when('{count:d} nodes greet and leave at once')
+def when_leave(context: typing.Any, count: int) -> None:
+    hello = codec.encode(pool_steps.open_pool('vik-1', '').hello)
+    host, _, port = context.address.partition(':')
+    context.failures = []
+
+    async def act() -> None:
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, failure: context.failures.append(failure)
+        )
+        for _ in range(count):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                client_kinds.UPGRADE
+                + client_kinds.message_head(len(hello))
+                + hello
+            )
+            await asyncio.sleep(0)
+            writer.close()
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@behave.then('no connection is left, and no error was noted')
+def then_none_left(context: typing.Any) -> None:
+    assert not context.pool.all()
+    assert not context.pool.pending.connections
+    assert not context.failures, context.failures
