Targets: a connection is reused only if its request was sent whole

Cause: Channel.is_reusable had several writers. _send_remaining_body took the mark away when an answer began before the body was sent; on_message_complete set it again from the parser alone, so it stayed away only if the end of the answer came in the same read as its head. Change: the mark is a property of facts that have one writer each: the request was written to its end, the transport has passed it on, the answer has ended and the target keeps the connection, all of it was read, the connection is open. A request that is not sent whole never sets its fact, so nothing can overrule it.

--- a/pomelobend/platform/usage_api.py
+++ b/pomelobend/platform/usage_api.py
@@ -127,7 +127,7 @@
             separators=(',', ':'),
         ).encode()
         channel.begin(is_without_body=False)
-        channel.write(self._head(len(body), holder, token) + body)
+        channel.write_request(self._head(len(body), holder, token), body)
         head = await channel.wait_for_head()
         size = 0
         async for part in channel.body(READ_TIMEOUT_S):
--- a/pomelobend/targets/channel_pool.py
+++ b/pomelobend/targets/channel_pool.py
@@ -71,12 +71,8 @@
         return channel
 
     def release(self, channel: channels.Channel) -> None:
-        """Return a reusable connection to the pool, or close it.
-
-        One with an unread rest of a response is closed, as the rest would be
-        taken for the start of the next response.
-        """
-        if channel.is_reusable and channel.is_open and channel.is_read:
+        """Return a reusable connection to the pool, or close it."""
+        if channel.is_reusable:
             channel.idle_since = self.clock.monotonic()
             self.idle.append(channel)
         else:
