--- a/tests/steps/test_targets_reuse.py
+++ b/tests/steps/test_targets_reuse.py
@@ -78,6 +78,8 @@
         Its answer to an upload.
     is_early : bool
         Whether it answers before it has read the body.
+    ends_late : bool
+        Whether it ends the answer only once it has read the body.
     connections : list of list of str
         The requests on each connection, by their ids.
     foreign : list of bytes
@@ -86,6 +88,7 @@
 
     pieces: list[bytes]
     is_early: bool
+    ends_late: bool = False
     connections: list[list[str]] = attrs.field(factory=list)
     foreign: list[bytes] = attrs.field(factory=list)
 
@@ -124,7 +127,9 @@
         for piece in self.pieces:
             writer.write(piece)
             await asyncio.sleep(PAUSE_S)
-        if self.is_early:
+            if self.ends_late and piece is self.pieces[0]:
+                await self._read_body(head, reader, READ_BYTES)
+        if self.is_early and not self.ends_late:
             await asyncio.sleep(READS_ON_S)
             await self._read_body(head, reader, READ_BYTES)
 
@@ -146,6 +151,15 @@
                 return
 
 
+@behave.given(
+    'an answer to uploads that begins after their first bytes and ends after'
+    ' their last'
+)
+def given_answer_ends_late(context: typing.Any) -> None:
+    given_target(context, 'in two reads', 'first')
+    context.target.ends_late = True
+
+
 @behave.given('uploads are answered {shape} after their {when} bytes')
 def given_target(context: typing.Any, shape: str, when: str) -> None:
     context.target = Target(SHAPES[shape], is_early=when == 'first')
@@ -163,11 +177,13 @@
     await asyncio.sleep(PAUSE_S)
 
 
-async def _parts(*, is_whole: bool) -> abc.AsyncIterator[bytes]:
-    """Yield the parts of a body, which the caller may not send to its end."""
+async def _parts(extent: str) -> abc.AsyncIterator[bytes]:
+    """Yield the parts of a body that is sent whole, in part or slowly."""
     for _ in range(PARTS - 1):
         yield PART
-    if not is_whole:
+        if extent == 'slowly':
+            await asyncio.sleep(PAUSE_S)
+    if extent == 'in part':
         await asyncio.get_running_loop().create_future()
     yield PART
 
@@ -218,7 +234,7 @@
 )
 def when_parts(context: typing.Any, framing: str, extent: str) -> None:
     upload = _new_call(context, FIRST_ID, 'POST', DEADLINE_S)
-    upload.remaining_body = _parts(is_whole=extent == 'whole')
+    upload.remaining_body = _parts(extent)
     if framing == 'with a length':
         size = PARTS * len(PART)
         upload.headers.append(('content-length', str(size)))
--- a/tests/targets/test_targets_reuse.feature
+++ b/tests/targets/test_targets_reuse.feature
@@ -56,3 +56,21 @@
     Examples: asyncio
       | shape                        | framing       | loop    |
       | in two reads                 | in chunks     | asyncio |
+
+  # Guards against the body of an upload that is cut off as its answer begins,
+  # though the target needs the rest to end the answer.
+  Scenario Outline: an answer that begins before its request has come whole ends after it, <framing>, <loop>
+    Given an answer to uploads that begins after their first bytes and ends after their last
+    When an upload <framing>, sent slowly, and a call follow each other
+    Then both are answered
+    And the call was sent on the same connection
+
+    @uvloop
+    Examples: uvloop
+      | framing       | loop   |
+      | with a length | uvloop |
+      | in chunks     | uvloop |
+
+    Examples: asyncio
+      | framing       | loop    |
+      | with a length | asyncio |
