Calls: large ones whose callers leave end unless they have begun

Cause: Front ended no call above MAX_WHOLE_BYTES that may not be repeated. Such a body goes to another node in parts, and must be sent on if a target has begun the call. The node of the caller doesn't know that, so it took all for begun, also those in its own queue. The node of the target decides, as for small bodies: a call that waits ends, one that runs and may not be repeated goes on, and its stream with it, as KeptRuns now ends after the run. A Cancel that crosses the start of a run meets one decision, at one node.

--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -1,7 +1,8 @@
 """Calls at the local target whose callers leave.
 
 A call that may not be repeated runs to its end once it has begun, as its
-target may have done part of its work. One that waits has done none.
+target may have done part of its work. One that waits has done none. Only the
+node of the target knows which of both holds.
 """
 
 from __future__ import annotations
@@ -62,7 +63,7 @@
         """Run a call on the target.
 
         When this is cancelled, a call that has a slot and may not be repeated
-        runs on; every other one ends.
+        runs on, and this ends after it; every other one ends at once.
 
         Raises
         ------
@@ -75,17 +76,18 @@
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            self._handle_leave(call, task)
+            await self._handle_leave(call, task)
             raise
 
-    def _handle_leave(
+    async def _handle_leave(
         self, call: call_module.Call, task: asyncio.Task
     ) -> None:
-        """Keep a run that has begun, and end a call that waits."""
+        """Wait for a run that has begun, and end a call that waits."""
         now = self.gate.clock.monotonic()
         has_begun = call in self.gate.slots.expected_ends
         if has_begun and now < call.deadline:
             self.detached.add(task)
+            await asyncio.wait((task,))
         else:
             task.cancel()
             task.add_done_callback(task_module.log_failure)
--- a/tests/mesh/test_mesh_left_bookings.feature
+++ b/tests/mesh/test_mesh_left_bookings.feature
@@ -22,3 +22,41 @@
       | node   |
       | vik-s  |
       | vik-t1 |
+
+  # Guards against the same for bookings whose bodies are sent in parts.
+  Scenario Outline: bookings of <size> bytes that wait <where> when their callers leave do not run
+    Given a mesh with two targets of a service in each of two domains
+    And bookings that may wait for 3 s
+    When 12 bookings of 1.6 s hold the slots of all targets, and 4 of 8 callers at <node>, with <size> bytes, leave while their bookings wait
+    Then no booking of a caller that left has run
+    And all other bookings are answered
+    And no node holds a call or a request any more
+
+    Examples:
+      | size    | where                     | node   |
+      | 3000000 | at the node of the target | vik-s  |
+      | 3000000 | at another node           | vik-t1 |
+      | 1048577 | at another node           | vik-t1 |
+
+  # Guards against half a body at a target, and against a run that is broken
+  # off, as the caller's node has not sent all of it when the caller leaves.
+  Scenario Outline: targets that read bookings as their callers leave get them whole, at <node>
+    Given a mesh with two targets of a service in each of two domains
+    When 3 bookings of 12000000 bytes, read in 1.5 s, are begun as their callers at <node> leave
+    Then each target has got the whole body of each booking that it began
+    And all of these bookings were begun
+    And no node holds a call or a request any more
+
+    Examples:
+      | node   |
+      | vik-s  |
+      | vik-t1 |
+
+  # Guards against a decision that crosses the start of the run.
+  Scenario: bookings whose callers leave as slots become free are run whole or not at all
+    Given a mesh with two targets of a service in each of two domains
+    And bookings that may wait for 3 s
+    When 12 bookings of 1.0 s hold the slots of all targets, and 24 callers at vik-t1, with 1500000 bytes, leave from 0.2 s before these end to 0.2 s after it
+    Then each target has got the whole body of each booking that it began
+    And some of these bookings were begun, and some were not
+    And no node holds a call or a request any more
--- a/tests/steps/test_mesh_left_bookings.py
+++ b/tests/steps/test_mesh_left_bookings.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
+import time
 import typing
 
 import behave
@@ -18,6 +20,10 @@
 AT_WORK_S = 0.3
 WAITS_S = 0.2
 SETTLE_S = 4.0
+HELD = tuple(
+    f'pomelobend_{name}'
+    for name in ('calls_in_flight', 'held_bytes_requests', 'held_bytes_nodes')
+)
 
 
 @behave.given('bookings that may wait for {wait_s:d} s')
@@ -40,12 +46,33 @@
     context.run(act())
 
 
-def _booking(identity: str, node: str, work_s: float) -> stop_steps.Request:
+def _booking(
+    identity: str,
+    node: str,
+    work_s: float,
+    size: int = 0,
+    read_s: float = 0.0,
+) -> stop_steps.Request:
     return stop_steps.Request(
-        identity, node, 'POST', '/booking/a', work_s=work_s
+        identity,
+        node,
+        'POST',
+        '/booking/a',
+        work_s=work_s,
+        body=b'b' * size,
+        read_s=read_s,
     )
 
 
+def _bookings_in_all_slots(
+    count: int, work_s: float
+) -> list[stop_steps.Request]:
+    names = itertools.islice(itertools.cycle(TARGET_NODES), count)
+    return [
+        _booking(f'first-{n}', name, work_s) for n, name in enumerate(names)
+    ]
+
+
 async def _send(
     context: typing.Any, request: stop_steps.Request
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -67,12 +94,10 @@
     left: int,
     waiting: int,
     node: str,
+    size: int = 0,
 ) -> None:
-    names = itertools.islice(itertools.cycle(TARGET_NODES), count)
-    first = [
-        _booking(f'first-{n}', name, work_s) for n, name in enumerate(names)
-    ]
-    behind = [_booking(f'behind-{n}', node, 0.1) for n in range(waiting)]
+    first = _bookings_in_all_slots(count, work_s)
+    behind = [_booking(f'behind-{n}', node, 0.1, size) for n in range(waiting)]
     context.left = behind[:left]
     context.stayed = [*first, *behind[left:]]
 
@@ -93,6 +118,13 @@
     context.run(act())
 
 
+behave.when(
+    '{count:d} bookings of {work_s:f} s hold the slots of all targets, and'
+    ' {left:d} of {waiting:d} callers at {node}, with {size:d} bytes, leave'
+    ' while their bookings wait'
+)(when_waiting)
+
+
 @behave.then('no booking of a caller that left has run')
 def then_not_run(context: typing.Any) -> None:
     ran = [r.identity for r in context.left if context.runs[r.identity]]
@@ -136,3 +168,118 @@
 def then_ended(context: typing.Any) -> None:
     assert len(context.spans) == len(context.left), context.spans
     assert all(ended_at for _, ended_at in context.spans), context.spans
+
+
+async def _note_reports(context: typing.Any) -> None:
+    """Note what the targets have begun, and the bodies that they have got."""
+    context.begun = collections.Counter()
+    context.bodies = collections.Counter()
+    for name in TARGET_NODES:
+        report = await context.mesh.report(name)
+        context.begun.update(report['begun'])
+        context.bodies.update(report['bodies'])
+
+
+@behave.when(
+    '{count:d} bookings of {size:d} bytes, read in {read_s:f} s, are begun as'
+    ' their callers at {node} leave'
+)
+def when_begun(
+    context: typing.Any, count: int, size: int, read_s: float, node: str
+) -> None:
+    context.left = [
+        _booking(f'begun-{n}', node, AT_WORK_S, size, read_s)
+        for n in range(count)
+    ]
+
+    async def act() -> None:
+        sent = [await _send(context, request) for request in context.left]
+        await asyncio.sleep(AT_WORK_S)
+        for _, writer in sent:
+            writer.close()
+        await asyncio.sleep(read_s + SETTLE_S)
+        await _note_reports(context)
+
+    context.run(act())
+
+
+@behave.when(
+    '{count:d} bookings of {work_s:f} s hold the slots of all targets, and'
+    ' {left:d} callers at {node}, with {size:d} bytes, leave from {early_s:f}'
+    ' s before these end to {late_s:f} s after it'
+)
+def when_crossing(
+    context: typing.Any,
+    count: int,
+    work_s: float,
+    left: int,
+    node: str,
+    size: int,
+    early_s: float,
+    late_s: float,
+) -> None:
+    first = _bookings_in_all_slots(count, work_s)
+    context.left = [
+        _booking(f'crossing-{n}', node, AT_WORK_S, size, AT_WORK_S)
+        for n in range(left)
+    ]
+    times_s = [
+        work_s - early_s + n * (early_s + late_s) / left for n in range(left)
+    ]
+
+    async def leave(writer: asyncio.StreamWriter, wait_s: float) -> None:
+        await asyncio.sleep(wait_s)
+        writer.close()
+
+    async def act() -> None:
+        for request in first:
+            await _send(context, request)
+        began_at = time.monotonic()
+        sent = [await _send(context, request) for request in context.left]
+        passed_s = time.monotonic() - began_at
+        await asyncio.gather(
+            *(
+                leave(writer, time_s - passed_s)
+                for (_, writer), time_s in zip(sent, times_s, strict=True)
+            )
+        )
+        await asyncio.sleep(SETTLE_S)
+        await _note_reports(context)
+
+    context.run(act())
+
+
+@behave.then(
+    'each target has got the whole body of each booking that it began'
+)
+def then_whole(context: typing.Any) -> None:
+    found = {
+        request.identity: context.bodies[request.identity]
+        for request in context.left
+        if context.begun[request.identity]
+    }
+    print(f'{len(found)} of {len(context.left)} were begun: {found}')
+    assert set(found.values()) <= {len(context.left[0].body)}, found
+    assert max(context.begun[r.identity] for r in context.left) == 1
+
+
+@behave.then('all of these bookings were begun')
+def then_all_begun(context: typing.Any) -> None:
+    assert all(context.begun[r.identity] for r in context.left), context.begun
+
+
+@behave.then('some of these bookings were begun, and some were not')
+def then_some_begun(context: typing.Any) -> None:
+    count = sum(context.begun[r.identity] for r in context.left)
+    assert 0 < count < len(context.left), count
+
+
+@behave.then('no node holds a call or a request any more')
+def then_nothing_held(context: typing.Any) -> None:
+    async def act() -> None:
+        for name in context.mesh.vms:
+            page = await path_steps.read_metrics(context, name)
+            held = {key: page[key] for key in HELD if page[key]}
+            assert not held, (name, held)
+
+    context.run(act())
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -60,6 +60,7 @@
     answer_bytes: int = 0
     status: int = 0
     sent_at: float = 0.0
+    read_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the request as bytes."""
@@ -70,6 +71,7 @@
             f'x-deadline-ms: {round(self.deadline_s * 1000)}',
             f'x-work-s: {self.work_s}',
             f'x-answer-bytes: {self.answer_bytes}',
+            f'x-read-s: {self.read_s}',
             f'content-length: {len(self.body)}',
         ]
         return '\r\n'.join(lines).encode() + b'\r\n\r\n' + self.body
