Limits: a time limit that ends a task leaves no reference to it

Callers saw: 503 for want of memory while a node holds bodies of calls that have ended. Cause: the TimeoutError of asyncio.timeout has a frame in its traceback that refers to its task. The error of the run is raised from it and held by that task, so both, and the call with its body, wait for the garbage collector. Change: Limit lets go of the limit of asyncio and raises an error of its own.

--- a/pomelobend/limits.py
+++ b/pomelobend/limits.py
@@ -74,7 +74,7 @@
     def __init__(self, seconds: float | None) -> None:
         self._seconds = seconds
         self._loop = asyncio.get_running_loop()
-        self._timeout = asyncio.timeout(None)
+        self._timeout: asyncio.Timeout | None = asyncio.timeout(None)
         self._timer: asyncio.TimerHandle | None = None
         self._reading: Reading | None = None
 
@@ -93,7 +93,16 @@
         for pending in (self._timer, self._reading):
             if pending is not None:
                 pending.cancel()
-        return await self._timeout.__aexit__(kind, error, trace)
+        timeout, self._timeout = self._timeout, None
+        try:
+            return await timeout.__aexit__(kind, error, trace)
+        except TimeoutError:
+            pass
+        finally:
+            del timeout
+        # The error of asyncio refers to the task by its traceback. A task that
+        # fails by it would be freed by the garbage collector only.
+        raise TimeoutError
 
     def move(self, when: float) -> None:
         """Move a limit that is not reached to another time of the loop."""
--- a/tests/targets/test_targets_freed.feature
+++ b/tests/targets/test_targets_freed.feature
@@ -13,3 +13,14 @@
       | what                         | reason          |
       | their answers are broken off | target-lost     |
       | their callers break off      | body-incomplete |
+
+  # Guards against a time limit that refers to the task of its call, and so keeps
+  # a body until the garbage collector comes by.
+  Scenario Outline: calls are freed at once as their deadlines pass <when>
+    Given a target whose answer never comes
+    When 10 calls pass their deadlines <when> without the garbage collector
+    Then none of the calls is held
+
+    Examples:
+      | when                         |
+      | after their callers have left |
