Mesh: refused calls at the own target are freed at once

Cause: the frame of KeptRuns.run is in the traceback of each refusal of a run, and refers to the task that holds the refusal. Change: KeptRuns.run drops its reference to the task, as Front does.

--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -78,6 +78,9 @@
         except asyncio.CancelledError:
             await self._handle_leave(call, task)
             raise
+        finally:
+            # A refusal refers to this frame by its traceback.
+            del task
 
     async def _handle_leave(
         self, call: call_module.Call, task: asyncio.Task
--- a/tests/targets/test_targets_freed.feature
+++ b/tests/targets/test_targets_freed.feature
@@ -23,4 +23,5 @@
 
     Examples:
       | when                         |
+      | while their callers wait     |
       | after their callers have left |
