--- a/pomelobend/mesh/kept_runs.py
+++ b/pomelobend/mesh/kept_runs.py
@@ -2,7 +2,7 @@
 
 A call that may not be repeated runs to its end once it has begun, as its
 target may have done part of its work. One that waits has done none. Only the
-node of the target knows which of both holds.
+node of the target knows whether it has begun.
 """
 
 from __future__ import annotations
