Tests: a stop, a reset and a half-close beside large bookings that were left

With real processes: the node of the caller or of the target stops while the rest of a body of 16 MB is sent; callers reset their connections, or close their sending sides and then all, while bookings of 3 MB wait; callers that only close their sending sides are answered.

The test client skips interim responses, as a caller of HTTP/1.1 must.

--- a/tests/mesh/test_mesh_left_bookings.feature
+++ b/tests/mesh/test_mesh_left_bookings.feature
@@ -38,6 +38,29 @@
       | 3000000 | at another node           | vik-t1 |
       | 1048577 | at another node           | vik-t1 |
 
+  # Guards against callers whose end looks different from a closed connection.
+  Scenario Outline: bookings whose callers at <node> <leave> while they wait do not run
+    Given a mesh with two targets of a service in each of two domains
+    And bookings that may wait for 3 s
+    When 12 bookings of 1.6 s hold the slots of all targets, and 4 of 8 callers at <node>, with 3000000 bytes, <leave> while their bookings wait
+    Then no booking of a caller that left has run
+    And all other bookings are answered
+    And no node holds a call or a request any more
+
+    Examples:
+      | node   | leave                                |
+      | vik-t1 | reset their connections              |
+      | vik-t1 | close their sending sides, then all, |
+      | vik-s  | reset their connections              |
+
+  # Guards against a caller that waits on and gets no answer.
+  Scenario: bookings whose callers only close their sending sides are answered
+    Given a mesh with two targets of a service in each of two domains
+    And bookings that may wait for 3 s
+    When 12 bookings of 1.6 s hold the slots of all targets, and 4 of 8 callers at vik-t1, with 3000000 bytes, close their sending sides while their bookings wait
+    Then all other bookings are answered
+    And no node holds a call or a request any more
+
   # Guards against half a body at a target, and against a run that is broken
   # off, as the caller's node has not sent all of it when the caller leaves.
   Scenario Outline: targets that read bookings as their callers leave get them whole, at <node>
@@ -52,6 +75,21 @@
       | vik-s  |
       | vik-t1 |
 
+  # Guards against a stop that breaks off the rest of these bodies.
+  Scenario Outline: targets get bookings of callers at <node> that left whole while <stopped> stops
+    Given a mesh with two targets of a service in each of two domains
+    When 2 bookings of 16000000 bytes, read in 1.8 s, are begun as their callers at <node> leave, and <stopped> stops
+    Then each target has got the whole body of each booking that it began
+    And all of these bookings were begun
+    And the node has exited within its grace period
+    And the node has ended with 0
+
+    Examples:
+      | node   | stopped |
+      | vik-s  | vik-s   |
+      | vik-t1 | vik-t1  |
+      | vik-t1 | vik-s   |
+
   # Guards against a decision that crosses the start of the run.
   Scenario: bookings whose callers leave as slots become free are run whole or not at all
     Given a mesh with two targets of a service in each of two domains
--- a/tests/steps/test_mesh_left_bookings.py
+++ b/tests/steps/test_mesh_left_bookings.py
@@ -11,6 +11,7 @@
 import behave
 
 from standins import mesh
+from tests.steps import test_http_half_closed as half_closed_steps
 from tests.steps import test_mesh_path as path_steps
 from tests.steps import test_mesh_stop as stop_steps
 
@@ -20,6 +21,7 @@
 AT_WORK_S = 0.3
 WAITS_S = 0.2
 SETTLE_S = 4.0
+HALF_CLOSE = 'close their sending sides'
 HELD = tuple(
     f'pomelobend_{name}'
     for name in ('calls_in_flight', 'held_bytes_requests', 'held_bytes_nodes')
@@ -89,7 +91,7 @@
 )
 @behave.when(
     '{count:d} bookings of {work_s:f} s hold the slots of all targets, and'
-    ' {left:d} of {waiting:d} callers at {node}, with {size:d} bytes, leave'
+    ' {left:d} of {waiting:d} callers at {node}, with {size:d} bytes, {how}'
     ' while their bookings wait'
 )
 def when_waiting(
@@ -100,11 +102,13 @@
     waiting: int,
     node: str,
     size: int = 0,
+    how: str = 'leave',
 ) -> None:
     first = _bookings_in_all_slots(count, work_s)
     behind = [_booking(f'behind-{n}', node, 0.1, size) for n in range(waiting)]
-    context.left = behind[:left]
-    context.stayed = [*first, *behind[left:]]
+    gone = 0 if how == HALF_CLOSE else left
+    context.left = behind[:gone]
+    context.stayed = [*first, *behind[gone:]]
 
     async def act() -> None:
         sent = [await _send(context, request) for request in first]
@@ -114,8 +118,8 @@
         sent_behind = [await _send(context, request) for request in behind]
         await asyncio.sleep(WAITS_S)
         for _, writer in sent_behind[:left]:
-            writer.close()
-        readers = [reader for reader, _ in [*sent, *sent_behind[left:]]]
+            await _leave(writer, how)
+        readers = [reader for reader, _ in [*sent, *sent_behind[gone:]]]
         await asyncio.gather(*map(stop_steps.receive, context.stayed, readers))
         await asyncio.sleep(SETTLE_S)
         context.runs = await stop_steps.runs(context)
@@ -123,6 +127,14 @@
     context.run(act())
 
 
+async def _leave(writer: asyncio.StreamWriter, how: str) -> None:
+    """Close a connection in one of several ways, or its sending side only."""
+    if how == HALF_CLOSE:
+        writer.write_eof()
+        return
+    await half_closed_steps.leave(writer, how)
+
+
 @behave.then('no booking of a caller that left has run')
 def then_not_run(context: typing.Any) -> None:
     ran = [r.identity for r in context.left if context.runs[r.identity]]
@@ -191,16 +203,54 @@
     ]
 
     async def act() -> None:
-        sent = [await _send(context, request) for request in context.left]
-        await asyncio.sleep(AT_WORK_S)
-        for _, writer in sent:
-            writer.close()
+        await _begin_and_leave(context)
         await asyncio.sleep(read_s + SETTLE_S)
         await _note_reports(context)
 
     context.run(act())
 
 
+async def _begin_and_leave(context: typing.Any) -> None:
+    """Send bookings, and leave while targets read their bodies."""
+    sent = [await _send(context, request) for request in context.left]
+    await asyncio.sleep(AT_WORK_S)
+    for _, writer in sent:
+        writer.close()
+
+
+@behave.when(
+    '{count:d} bookings of {size:d} bytes, read in {read_s:f} s, are begun as'
+    ' their callers at {node} leave, and {stopped} stops'
+)
+def when_begun_at_stop(
+    context: typing.Any,
+    count: int,
+    size: int,
+    read_s: float,
+    node: str,
+    stopped: str,
+) -> None:
+    context.left = [
+        _booking(f'begun-{n}', node, AT_WORK_S, size, read_s)
+        for n in range(count)
+    ]
+
+    async def act() -> None:
+        await _begin_and_leave(context)
+        await asyncio.sleep(WAITS_S)
+        stop_steps.stop(context, stopped)
+        await stop_steps.note_end(context, stopped)
+        await asyncio.sleep(AT_WORK_S)
+        await _note_reports(context)
+
+    context.run(act())
+
+
+@behave.then('the node has ended with 0')
+def then_ended_well(context: typing.Any) -> None:
+    assert context.code == 0, context.code
+
+
 @behave.when(
     '{count:d} bookings of {work_s:f} s hold the slots of all targets, and'
     ' {left:d} callers at {node}, with {size:d} bytes, leave from {early_s:f}'
--- a/tests/steps/test_mesh_stop.py
+++ b/tests/steps/test_mesh_stop.py
@@ -34,6 +34,7 @@
 EXIT_S = 8.0
 CALLERS = 6
 STATUS_LINE_BYTES = 12
+INTERIM = b'http/1.1 1'
 MIB = 1024 * 1024
 PART_BYTES = 64 * 1024
 LARGE_SHARE = 0.25
@@ -80,12 +81,16 @@
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
     """Return the status of an answer and whether its connection stays open.
 
+    Interim responses before it are skipped.
+
     Raises
     ------
     EOFError, ConnectionError
         The connection ended before the last byte of the answer.
     """
-    head = (await reader.readuntil(b'\r\n\r\n')).lower()
+    head = INTERIM
+    while head.startswith(INTERIM):
+        head = (await reader.readuntil(b'\r\n\r\n')).lower()
     length = int(head.partition(b'content-length: ')[2].split(b'\r\n')[0])
     await reader.readexactly(length)
     status = int(head[:STATUS_LINE_BYTES].split()[1])
